--- /dev/null
+++ b/src/bookkeeping/jobs.ts
@@ -0,0 +1,207 @@
+import type { JobSpec } from "../protocol/model.js";
+import { CHUNK, type ChunkRecord, type Head } from "./records.js";
+import type { Machine } from "./machines.js";
+
+/** One start of one task, from its plan until it is proved gone. It holds place and quota all that time. */
+export interface Attempt {
+  job: Job;
+  task: number;
+  attempt: number;
+  machine: Machine;
+  /** Planned: not yet in the state service, so nothing may be sent. */
+  durable: boolean;
+  /** Read from the state service by a new leader: its start may have been sent by another. */
+  inherited: boolean;
+  /** Highest token that a start of it went out under; -1: not sent by this leader. */
+  sentToken: number;
+  sentSession: number;
+  sentMs: number;
+  /** As last reported; null: never seen. */
+  phase: "fetching" | "waiting" | "running" | "saving" | null;
+  plannedMs: number;
+  runningMs: number | null;
+  /** Wish to have it stopped. */
+  stop: { sinceMs: number; graceS: number; sent: boolean; lastSentMs: number } | null;
+}
+
+export interface Chunk {
+  index: number;
+  done: Uint8Array;
+  /** What of `done` is certainly in the state service: only that may be reaped. */
+  durableDone: Uint8Array;
+  /** Version of its key; 0: not written yet. */
+  version: number;
+  dirty: boolean;
+  /** Attempts that are planned but not durable make it urgent. */
+  urgent: boolean;
+  attempts: Map<number, Attempt>;
+}
+
+function bit(bits: Uint8Array, at: number): boolean {
+  return (bits[at >> 3]! & (1 << (at & 7))) !== 0;
+}
+
+/** A live job as its leader sees it. Nothing here grows with tasks that were never touched. */
+export class Job {
+  readonly chunks = new Map<number, Chunk>();
+  readonly attempts = new Set<Attempt>();
+  /** Tasks that have to run again, lowest last. */
+  private again: number[] = [];
+  /** Tasks from here on were never started. */
+  private cursor = 0;
+  doneCount = 0;
+  cancelled: boolean;
+  /** Steady time of the submission, as near as we know. */
+  readonly bornMs: number;
+  /** Nothing of it is started before this, after failures. */
+  notBeforeMs = 0;
+  errors = 0;
+  /** Machines on which it failed, and until when they are avoided. */
+  readonly avoid = new Map<string, number>();
+  /** Longest seen run of a finished task, for estimates. */
+  finishing = false;
+  firstStartMs: number | null = null;
+  /** Progress known to be kept, for jobs with checkpoints. */
+  savedS = 0;
+
+  constructor(
+    readonly spec: JobSpec,
+    readonly acceptedAt: Date,
+    public headVersion: number,
+    cancelled: boolean,
+    bornMs: number,
+  ) {
+    this.cancelled = cancelled;
+    this.bornMs = bornMs;
+  }
+
+  static fromHead(head: Head, version: number, bornMs: number): Job {
+    return new Job(head.spec, head.acceptedAt, version, head.cancelled, bornMs);
+  }
+
+  get id(): string {
+    return this.spec.id;
+  }
+
+  chunkOf(task: number): Chunk {
+    const index = Math.floor(task / CHUNK);
+    let chunk = this.chunks.get(index);
+    if (!chunk) {
+      chunk = {
+        index,
+        done: new Uint8Array(CHUNK / 8),
+        durableDone: new Uint8Array(CHUNK / 8),
+        version: 0,
+        dirty: false,
+        urgent: false,
+        attempts: new Map(),
+      };
+      this.chunks.set(index, chunk);
+    }
+    return chunk;
+  }
+
+  isDone(task: number): boolean {
+    const chunk = this.chunks.get(Math.floor(task / CHUNK));
+    return chunk !== undefined && bit(chunk.done, task % CHUNK);
+  }
+
+  isDurablyDone(task: number): boolean {
+    const chunk = this.chunks.get(Math.floor(task / CHUNK));
+    return chunk !== undefined && bit(chunk.durableDone, task % CHUNK);
+  }
+
+  attemptOf(task: number): Attempt | undefined {
+    return this.chunks.get(Math.floor(task / CHUNK))?.attempts.get(task);
+  }
+
+  /** False when it was done already. */
+  markDone(task: number): boolean {
+    if (task < 0 || task >= this.spec.tasks || this.isDone(task)) return false;
+    const chunk = this.chunkOf(task);
+    chunk.done[(task % CHUNK) >> 3]! |= 1 << ((task % CHUNK) & 7);
+    chunk.dirty = true;
+    this.doneCount++;
+    return true;
+  }
+
+  get allDone(): boolean {
+    return this.doneCount >= this.spec.tasks;
+  }
+
+  /** Over, and nothing of it can be anywhere: only then may it be moved to the final jobs. */
+  get over(): boolean {
+    return this.cancelled ? this.attempts.size === 0 : this.allDone;
+  }
+
+  attach(attempt: Attempt): void {
+    const chunk = this.chunkOf(attempt.task);
+    if (chunk.attempts.has(attempt.task))
+      throw new Error(`${this.id}/${attempt.task} has an attempt already`);
+    chunk.attempts.set(attempt.task, attempt);
+    this.attempts.add(attempt);
+  }
+
+  detach(attempt: Attempt): void {
+    const chunk = this.chunkOf(attempt.task);
+    if (chunk.attempts.get(attempt.task) === attempt) chunk.attempts.delete(attempt.task);
+    this.attempts.delete(attempt);
+    chunk.dirty = true;
+  }
+
+  requeue(task: number): void {
+    if (task >= this.cursor || this.isDone(task)) return;
+    this.again.push(task);
+  }
+
+  /** Tasks that wait for a place. */
+  get pending(): number {
+    if (this.cancelled) return 0;
+    return this.spec.tasks - this.doneCount - this.attempts.size;
+  }
+
+  /** Takes the next task that has neither result nor attempt. */
+  takePending(): number | null {
+    while (this.again.length > 0) {
+      const task = this.again.pop()!;
+      if (!this.isDone(task) && !this.attemptOf(task)) return task;
+    }
+    while (this.cursor < this.spec.tasks) {
+      const task = this.cursor++;
+      if (!this.isDone(task) && !this.attemptOf(task)) return task;
+    }
+    return null;
+  }
+
+  putBack(task: number): void {
+    this.again.push(task);
+  }
+
+  /** Takes over what the state service holds of a chunk. */
+  load(index: number, record: ChunkRecord, version: number): void {
+    const chunk = this.chunkOf(index * CHUNK);
+    chunk.done.set(record.done);
+    chunk.durableDone.set(record.done);
+    chunk.version = version;
+    for (const byte of record.done) for (let b = byte; b > 0; b &= b - 1) this.doneCount++;
+  }
+
+  runningCount(): number {
+    let running = 0;
+    for (const a of this.attempts) if (a.phase === "running" || a.phase === "saving") running++;
+    return running;
+  }
+}
+
+/** What goes into the state service for a chunk as it stands. */
+export function chunkRecord(chunk: Chunk): ChunkRecord {
+  return {
+    done: chunk.done,
+    attempts: [...chunk.attempts.values()].map((a) => ({
+      task: a.task,
+      attempt: a.attempt,
+      machine: a.machine.name,
+      zone: a.machine.zone,
+    })),
+  };
+}
--- /dev/null
+++ b/src/bookkeeping/ledger.ts
@@ -0,0 +1,114 @@
+import type { Change, Guard } from "../protocol/state.js";
+import type { Attempt, Chunk, Job } from "./jobs.js";
+import { chunkRecord } from "./jobs.js";
+import { encodeChunk, encodeFinal, keys } from "./records.js";
+
+export interface Part {
+  job: Job;
+  /** Null: the job's move to the final jobs. */
+  chunk: Chunk | null;
+  /** What becomes durable with it. */
+  attempts: Attempt[];
+  done: Uint8Array | null;
+}
+
+export interface Transaction {
+  guards: Guard[];
+  changes: Change[];
+  parts: Part[];
+  garbage: string[];
+  /** Set when a round's moves, or the machine types, go along. */
+  moves?: unknown;
+  types?: boolean;
+}
+
+export interface LedgerLimits {
+  changes: number;
+  bytes: number;
+}
+
+/** A key that no live job needs any more. */
+export type Garbage = Map<string, number>;
+
+/**
+ * Puts what waits to be written into one transaction, the most pressing first. Pure.
+ *
+ * Every write is guarded: by the term, so that a deposed leader changes nothing; by the job's head, so that
+ * no start is planned after a cancellation was promised (rule `ran_cancelled`); by the version of what it
+ * overwrites, so that a late copy of an older transaction changes nothing.
+ */
+export function composeTransaction(
+  jobs: Iterable<Job>,
+  garbage: Garbage,
+  termVersion: number,
+  limits: LedgerLimits,
+): Transaction {
+  const t: Transaction = {
+    guards: [{ key: keys.term, version: termVersion }],
+    changes: [],
+    parts: [],
+    garbage: [],
+  };
+  let bytes = 256;
+  const fits = (changes: number, size: number): boolean =>
+    t.changes.length + changes <= limits.changes &&
+    bytes + size <= limits.bytes &&
+    t.guards.length + 2 + changes <= limits.changes * 4;
+
+  const addChunk = (job: Job, chunk: Chunk): boolean => {
+    const value = encodeChunk(chunkRecord(chunk));
+    const size = JSON.stringify(value).length + 200;
+    if (!fits(1, size)) return false;
+    const head = keys.head(job.id);
+    if (!t.guards.some((g) => g.key === head)) t.guards.push({ key: head, version: job.headVersion });
+    t.guards.push({ key: keys.chunk(job.id, chunk.index), version: chunk.version });
+    t.changes.push({ put: keys.chunk(job.id, chunk.index), value });
+    t.parts.push({ job, chunk, attempts: [...chunk.attempts.values()], done: chunk.done.slice() });
+    bytes += size;
+    return true;
+  };
+
+  const urgent: [Job, Chunk][] = [];
+  const finals: Job[] = [];
+  const lazy: [Job, Chunk][] = [];
+  for (const job of jobs) {
+    if (job.over) {
+      finals.push(job);
+      continue;
+    }
+    for (const chunk of job.chunks.values()) {
+      if (chunk.urgent) urgent.push([job, chunk]);
+      else if (chunk.dirty) lazy.push([job, chunk]);
+    }
+  }
+  urgent.sort((a, b) => b[0].spec.priority - a[0].spec.priority);
+  for (const [job, chunk] of urgent) if (!addChunk(job, chunk)) break;
+  for (const job of finals) {
+    const written = [...job.chunks.values()].filter((c) => c.version > 0);
+    // Few chunks go in the same transaction; those of a huge job are swept up afterwards.
+    const now = written.length <= 4 ? written : [];
+    if (!fits(2 + now.length, 400)) break;
+    t.guards.push(
+      { key: keys.head(job.id), version: job.headVersion },
+      { key: keys.final(job.id), version: 0 },
+    );
+    t.changes.push(
+      { put: keys.final(job.id), value: encodeFinal({ cancelled: job.cancelled, tasks: job.spec.tasks }) },
+      { drop: keys.head(job.id) },
+    );
+    for (const chunk of now) {
+      t.guards.push({ key: keys.chunk(job.id, chunk.index), version: chunk.version });
+      t.changes.push({ drop: keys.chunk(job.id, chunk.index) });
+    }
+    t.parts.push({ job, chunk: null, attempts: [], done: null });
+    bytes += 400 + now.length * 120;
+  }
+  for (const [job, chunk] of lazy) if (!addChunk(job, chunk)) break;
+  for (const [key, version] of garbage) {
+    if (t.changes.length >= Math.max(1, limits.changes >> 1) || !fits(1, 120)) break;
+    t.guards.push({ key, version });
+    t.changes.push({ drop: key });
+    t.garbage.push(key);
+  }
+  return t;
+}
--- /dev/null
+++ b/src/bookkeeping/usage.ts
@@ -0,0 +1,39 @@
+import type { JobSpec } from "../protocol/model.js";
+import type { Team } from "../settings/platform.js";
+
+const SLACK = 1e-6;
+
+/** What each team's tasks may be using: everything planned and not yet proved gone (rule `quota`). */
+export class Usage {
+  private readonly used = new Map<string, { cpus: number; gpus: number }>();
+  readonly teams: Map<string, Team>;
+
+  constructor(teams: Team[]) {
+    this.teams = new Map(teams.map((t) => [t.name, t]));
+  }
+
+  of(team: string): { cpus: number; gpus: number } {
+    let used = this.used.get(team);
+    if (!used) {
+      used = { cpus: 0, gpus: 0 };
+      this.used.set(team, used);
+    }
+    return used;
+  }
+
+  add(spec: JobSpec, tasks: number): void {
+    const used = this.of(spec.team);
+    used.cpus += spec.cpus * tasks;
+    used.gpus += spec.gpus * tasks;
+  }
+
+  /** How many more tasks of this kind the team's limit allows. */
+  room(spec: JobSpec): number {
+    const team = this.teams.get(spec.team);
+    if (!team) return 0;
+    const used = this.of(spec.team);
+    const cpus = spec.cpus > 0 ? Math.floor((team.cpusMax - used.cpus + SLACK) / spec.cpus) : Infinity;
+    const gpus = spec.gpus > 0 ? Math.floor((team.gpusMax - used.gpus + SLACK) / spec.gpus) : Infinity;
+    return Math.max(0, Math.min(cpus, gpus));
+  }
+}
--- /dev/null
+++ b/src/coordination/admission.ts
@@ -0,0 +1,233 @@
+import type { JobSpec, MachineType } from "../protocol/model.js";
+import { asCount } from "../protocol/checks.js";
+import { decodeFinal, decodeHead, encodeHead, keys, type Final, type Head } from "../bookkeeping/records.js";
+import type { StateClient } from "../bookkeeping/stateClient.js";
+import { decodeSubmission, encodeAccepted, encodeState, isJobId, type JobPhase } from "../protocol/users.js";
+import type { Team } from "../settings/platform.js";
+import type { Clock } from "../transport/clock.js";
+import type { Answer } from "../transport/httpServer.js";
+import { Actor } from "../transport/mailbox.js";
+import { log } from "../transport/log.js";
+
+type Reply = (answer: Answer) => void;
+
+type Message =
+  | { kind: "submit"; value: unknown; reply: Reply }
+  | { kind: "show"; id: string; reply: Reply }
+  | { kind: "cancel"; id: string; reply: Reply }
+  | { kind: "types"; types: MachineType[] }
+  | { kind: "tally"; jobs: { id: string; done: number; running: number }[] };
+
+export interface AdmissionOptions {
+  state: StateClient;
+  clock: Clock;
+  teams: Team[];
+  zones: string[];
+  valueBytes: number;
+  /** A live job was accepted or cancelled here: the leader may want to look at once. */
+  onChange: () => void;
+}
+
+/** Whether a job could ever run; null when it can. Pure. */
+export function neverRuns(spec: JobSpec, types: MachineType[], teams: Team[]): string | null {
+  const team = teams.find((t) => t.name === spec.team);
+  if (!team) return `unknown team ${spec.team}`;
+  const fitting = types.filter(
+    (t) =>
+      (spec.types === null || spec.types.includes(t.name)) &&
+      (spec.zone === null || t.zones.includes(spec.zone)) &&
+      t.cpus >= spec.cpus &&
+      t.gpus >= spec.gpus &&
+      t.memoryGb >= spec.memoryGb,
+  );
+  if (fitting.length === 0) return "a task fits no allowed machine type";
+  const atOnce = spec.kind === "array" ? 1 : spec.tasks;
+  const slack = 1e-6;
+  if (spec.cpus * atOnce > team.cpusMax + slack) return `needs more cpus than ${team.name} may use`;
+  if (spec.gpus * atOnce > team.gpusMax + slack) return `needs more gpus than ${team.name} may use`;
+  return null;
+}
+
+const SUBMIT_MS = 4200;
+const POLL_MS = 1700;
+const RETRY_AFTER = { "Retry-After": "1" };
+const FINALS_KEPT = 20_000;
+
+/**
+ * Answers users, at any node. What is told is durable first (rules `forgotten`, `went_back`, `invented`):
+ * "accepted" and "cancelled" are committed before they are said; a "not final" or a 404 comes from a fresh read.
+ * Only what is final may be remembered.
+ */
+export class Admission extends Actor<Message> {
+  private types: MachineType[] | null = null;
+  private readonly finals = new Map<string, Final>();
+  private readonly counts = new Map<string, { done: number; running: number }>();
+
+  constructor(private readonly o: AdmissionOptions) {
+    super();
+  }
+
+  protected override failed(message: Message, error: unknown): void {
+    log.error(`admission: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
+    if ("reply" in message)
+      message.reply({ status: 500, body: { error: "internal error" }, headers: RETRY_AFTER });
+  }
+
+  protected override handle(message: Message): void {
+    switch (message.kind) {
+      case "types":
+        this.types = message.types;
+        break;
+      case "tally":
+        this.counts.clear();
+        for (const job of message.jobs) this.counts.set(job.id, job);
+        break;
+      case "submit":
+        this.run(this.submit(message.value), message.reply);
+        break;
+      case "show":
+        this.run(this.show(message.id), message.reply);
+        break;
+      case "cancel":
+        this.run(this.cancel(message.id), message.reply);
+        break;
+    }
+  }
+
+  private run(work: Promise<Answer>, reply: Reply): void {
+    work.then(reply, (error: unknown) => {
+      log.error(`admission: ${String((error as Error)?.stack ?? error)}`);
+      reply({ status: 500, body: { error: "internal error" }, headers: RETRY_AFTER });
+    });
+  }
+
+  private later(why: string): Answer {
+    return { status: 503, body: { error: why }, headers: RETRY_AFTER };
+  }
+
+  private async submit(value: unknown): Promise<Answer> {
+    const decoded = decodeSubmission(value);
+    if ("wrong" in decoded) return { status: 400, body: { error: decoded.wrong } };
+    const { spec } = decoded;
+    const deadline = this.o.clock.nowMs() + SUBMIT_MS;
+    const final = this.finals.get(spec.id);
+    if (final) return { status: 200, body: encodeAccepted(spec.id, phaseOf(final)) };
+    if (!this.types) {
+      // A job that was accepted before must not be refused now, but neither can we look without knowing types.
+      const known = await this.lookUp(spec.id, deadline);
+      if (known !== "absent" && known !== "failed") return this.knownAnswer(spec.id, known);
+      return this.later("machine types are not known yet");
+    }
+    const never = neverRuns(spec, this.types, this.o.teams);
+    const head: Head = { spec, acceptedAt: this.o.clock.today(), cancelled: false };
+    const record = encodeHead(head);
+    const tooBig = Buffer.byteLength(JSON.stringify(record)) > this.o.valueBytes;
+    if (never !== null || tooBig) {
+      // Settings may have changed since it was accepted: what was accepted stays so (rule `forgotten`).
+      const known = await this.lookUp(spec.id, deadline);
+      if (known === "failed") return this.later("the state service does not answer");
+      if (known !== "absent") return this.knownAnswer(spec.id, known);
+      return never !== null
+        ? { status: 422, body: { error: never } }
+        : { status: 400, body: { error: "the description is too long to be kept" } };
+    }
+    const outcome = await this.o.state.commit(
+      [
+        { key: keys.head(spec.id), version: 0 },
+        { key: keys.final(spec.id), version: 0 },
+      ],
+      [{ put: keys.head(spec.id), value: record }],
+      deadline,
+    );
+    if (outcome.kind === "ok") {
+      this.o.onChange();
+      return { status: 201, body: encodeAccepted(spec.id, "pending") };
+    }
+    if (outcome.kind === "refused") return this.later("the state service does not take changes");
+    // Known already, or the outcome is unknown: only reading tells.
+    const known = await this.lookUp(spec.id, Math.max(deadline, this.o.clock.nowMs() + 300));
+    if (known === "failed" || known === "absent") return this.later("the outcome is not known yet");
+    this.o.onChange();
+    return this.knownAnswer(spec.id, known);
+  }
+
+  private knownAnswer(id: string, known: { head: Head } | { final: Final }): Answer {
+    if ("final" in known) return { status: 200, body: encodeAccepted(id, phaseOf(known.final)) };
+    return { status: 200, body: encodeAccepted(id, known.head.cancelled ? "cancelled" : this.livePhase(id)) };
+  }
+
+  private livePhase(id: string): JobPhase {
+    return (this.counts.get(id)?.running ?? 0) > 0 ? "running" : "pending";
+  }
+
+  /**
+   * A fresh read. The live key first: jobs move from live to final in one transaction and never back, so a job
+   * that is at neither place in this order had not been accepted when we began.
+   */
+  private async lookUp(
+    id: string,
+    deadlineMs: number,
+  ): Promise<{ head: Head; version: number } | { final: Final } | "absent" | "failed"> {
+    const remembered = this.finals.get(id);
+    if (remembered) return { final: remembered };
+    const live = await this.o.state.get(keys.head(id), deadlineMs);
+    if (live.kind === "failed") return "failed";
+    if (live.kind === "found") {
+      const head = decodeHead(live.item.value);
+      return head ? { head, version: live.item.version } : "failed";
+    }
+    const over = await this.o.state.get(keys.final(id), deadlineMs);
+    if (over.kind === "failed") return "failed";
+    if (over.kind === "absent") return "absent";
+    const final = decodeFinal(over.item.value);
+    if (!final) return "failed";
+    this.finals.set(id, final);
+    if (this.finals.size > FINALS_KEPT) this.finals.delete(this.finals.keys().next().value!);
+    return { final };
+  }
+
+  private async show(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
+    const known = await this.lookUp(id, this.o.clock.nowMs() + POLL_MS);
+    if (known === "failed") return this.later("the state service does not answer");
+    if (known === "absent") return { status: 404, body: { error: "no such job" } };
+    if ("final" in known) {
+      const { final } = known;
+      return { status: 200, body: encodeState(id, phaseOf(final), final.cancelled ? 0 : final.tasks, 0) };
+    }
+    const count = this.counts.get(id) ?? { done: 0, running: 0 };
+    const phase = known.head.cancelled ? "cancelled" : this.livePhase(id);
+    return {
+      status: 200,
+      body: encodeState(id, phase, asCount(count.done) ?? 0, asCount(count.running) ?? 0),
+    };
+  }
+
+  private async cancel(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
+    const deadline = this.o.clock.nowMs() + SUBMIT_MS;
+    for (let round = 0; round < 4; round++) {
+      const known = await this.lookUp(id, deadline);
+      if (known === "failed") return this.later("the state service does not answer");
+      if (known === "absent") return { status: 404, body: { error: "no such job" } };
+      if ("final" in known) return { status: 200, body: encodeAccepted(id, phaseOf(known.final)) };
+      if (known.head.cancelled) return { status: 200, body: encodeAccepted(id, "cancelled") };
+      const outcome = await this.o.state.commit(
+        [{ key: keys.head(id), version: known.version }],
+        [{ put: keys.head(id), value: encodeHead({ ...known.head, cancelled: true }) }],
+        deadline,
+      );
+      if (outcome.kind === "ok") {
+        this.o.onChange();
+        return { status: 200, body: encodeAccepted(id, "cancelled") };
+      }
+      if (outcome.kind === "refused") return this.later("the state service does not take changes");
+      // A conflict or no answer: look again.
+    }
+    return this.later("the job keeps changing");
+  }
+}
+
+function phaseOf(final: Final): JobPhase {
+  return final.cancelled ? "cancelled" : "done";
+}
--- /dev/null
+++ b/src/coordination/commands.ts
@@ -0,0 +1,67 @@
+import type { Command } from "../protocol/model.js";
+import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import type { Machine } from "../bookkeeping/machines.js";
+
+export interface Letter {
+  token: number;
+  commands: Command[];
+}
+
+/** Time that a start sent straight to a worker is given before the next report's answer repeats it. */
+const REPEAT_START_MS = 1200;
+const REPEAT_STOP_MS = 600;
+
+/**
+ * What a worker has to be told now, and under which token. Called right before sending: it notes what is sent.
+ *
+ * After a `reap` the worker has forgotten the attempt, and a copy of its start still on the way would run it
+ * again (rule `ran_twice`). So a letter that reaps carries a token above that of every start sent before:
+ * whatever is still on the way is refused from then on.
+ */
+export function writeLetter(
+  m: Machine,
+  jobs: Map<string, Job>,
+  nowMs: number,
+  options: { starts: boolean; raise: boolean; direct: boolean },
+): Letter {
+  const commands: Command[] = [];
+  let reaps = false;
+  const known = new Map<string, Attempt>();
+  for (const a of m.attempts) known.set(`${a.job.id}/${a.task}/${a.attempt}`, a);
+  for (const t of m.reported) {
+    const { jobId, task, attempt } = t;
+    const job = jobs.get(jobId);
+    if (t.phase === "exited") {
+      // A result is reaped only once it is durable.
+      if (t.cause === "done" && job && !job.cancelled && !job.isDurablyDone(task)) continue;
+      if (known.has(`${jobId}/${task}/${attempt}`)) continue;
+      commands.push({ op: "reap", jobId, task, attempt });
+      reaps = true;
+    } else if (!known.has(`${jobId}/${task}/${attempt}`)) {
+      // Nobody's: its job is over, or another attempt has taken its place.
+      commands.push({ op: "stop", jobId, task, attempt, graceS: 0 });
+    }
+  }
+  for (const a of m.attempts) {
+    if (a.stop && (a.sentToken >= 0 || a.inherited)) {
+      if (options.direct && a.stop.sent && nowMs - a.stop.lastSentMs < REPEAT_STOP_MS) continue;
+      a.stop.sent = true;
+      a.stop.lastSentMs = nowMs;
+      commands.push({ op: "stop", jobId: a.job.id, task: a.task, attempt: a.attempt, graceS: a.stop.graceS });
+    }
+  }
+  if (options.raise || (reaps && m.startToken >= m.token)) m.token = Math.max(m.token, m.startToken) + 1;
+  if (options.starts) {
+    for (const a of m.attempts) {
+      // Intent before command: only what is durable is sent.
+      if (!a.durable || a.stop || a.phase !== null || a.inherited) continue;
+      if (a.sentToken >= 0 && (a.sentSession !== m.session || nowMs - a.sentMs < REPEAT_START_MS)) continue;
+      a.sentToken = m.token;
+      a.sentSession = m.session;
+      a.sentMs = nowMs;
+      m.startToken = m.token;
+      commands.push({ op: "start", jobId: a.job.id, task: a.task, attempt: a.attempt });
+    }
+  }
+  return { token: m.token, commands };
+}
--- /dev/null
+++ b/src/coordination/fences.ts
@@ -0,0 +1,59 @@
+/**
+ * Proofs that a task is on no machine any more. Everything that frees place or quota, or starts a task a
+ * second time, goes through one of these (rules `ran_twice`, `quota`, `wrong_place`, `ran_cancelled`).
+ */
+
+/** Steady clocks of different machines drift apart by as much as this. */
+export const DRIFT = 0.0005;
+
+export interface StartFacts {
+  /** Highest token a start went out under; -1: this leader has sent none. */
+  sentToken: number;
+  /** Session that the start named. */
+  sentSession: number;
+  /** An older leader may have sent a start that we know nothing of. */
+  inherited: boolean;
+}
+
+export interface ReportFacts {
+  session: number;
+  token: number;
+}
+
+/**
+ * Does a report that does not list the task prove it gone? The report must be the newest of its machine.
+ *
+ * A start still in flight carries at most `sentToken` (an inherited one: less than our term's first token).
+ * Once the worker has seen a higher token, it refuses such a start, so what it reports under that
+ * higher token stays true. A start is also refused in any session but the one it names.
+ */
+export function absenceProves(start: StartFacts, report: ReportFacts, termFloor: number): boolean {
+  if (start.inherited) return report.token >= termFloor && report.token > start.sentToken;
+  if (start.sentToken < 0) return false;
+  return report.session > start.sentSession || report.token > start.sentToken;
+}
+
+/**
+ * Steady time from which a silent worker has certainly killed its tasks: its lease runs from when its last
+ * answered report was sent, which is before the answering controller received it.
+ */
+export function leaseOverMs(lastPossibleAckMs: number, leaseS: number): number {
+  return lastPossibleAckMs + leaseS * 1000 * (1 + 2 * DRIFT) + 50;
+}
+
+/** A leader's own hold, counted from when its renewal was sent; we count fast, the service may count slow. */
+export function holdUntilMs(renewalSentMs: number, ttlMs: number): number {
+  return renewalSentMs + ttlMs * (1 - 2 * DRIFT) - 20;
+}
+
+/** Tokens stay exact in a double: 29 bits of term, 24 bits of counter. */
+export const TOKENS_PER_TERM = 2 ** 24;
+export const ATTEMPTS_PER_TERM = 2 ** 24;
+
+export function firstToken(term: number): number {
+  return term * TOKENS_PER_TERM;
+}
+
+export function firstAttempt(term: number): number {
+  return term * ATTEMPTS_PER_TERM;
+}
--- /dev/null
+++ b/src/coordination/fleet.ts
@@ -0,0 +1,90 @@
+import type { MachineType } from "../protocol/model.js";
+import type { JobView, MachineView } from "./views.js";
+import { allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
+
+export interface RentWish {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export interface FleetInput {
+  unplaced: { job: JobView; tasks: number }[];
+  types: MachineType[];
+  /** Machines on their way, rented or asked for. */
+  coming: MachineView[];
+  /** True while the cloud has lately had none of these. */
+  refused: (type: string, zone: string, spot: boolean) => boolean;
+  maxMachines: number;
+}
+
+/**
+ * What to rent for the work that found no place: first what is on its way is filled, in thought, and only
+ * what is still left rents more, at the lowest price for each task that the machine would really hold. Pure.
+ */
+export function wishToRent(input: FleetInput): RentWish[] {
+  const wishes = new Map<string, RentWish>();
+  const virtual = [...input.coming];
+  let machines = 0;
+  for (const { job, tasks } of input.unplaced) {
+    const { spec } = job;
+    const zones = new Map(job.zones);
+    let left = tasks;
+    const put = (m: MachineView): void => {
+      const n = Math.min(left, howMany(spec, m.free), zoneRoom(spec, zones, m.zone));
+      if (n <= 0) return;
+      takeFrom(m.free, spec, n);
+      zones.set(m.zone, (zones.get(m.zone) ?? 0) + n);
+      left -= n;
+    };
+    for (const m of virtual) {
+      if (left <= 0) break;
+      if (allows(spec, m.type.name, m.zone, m.spot) && fits(spec, m.free)) put(m);
+    }
+    while (left > 0 && machines < input.maxMachines) {
+      let best: { type: MachineType; zone: string; spot: boolean; cost: number } | null = null;
+      for (const type of input.types) {
+        const whole = { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
+        const holds = howMany(spec, whole);
+        if (holds <= 0) continue;
+        if (spec.gpus === 0 && type.gpus > 0) continue;
+        for (const zone of type.zones) {
+          const room = zoneRoom(spec, zones, zone);
+          if (room <= 0) continue;
+          for (const spot of spec.spot ? [true, false] : [false]) {
+            if (!allows(spec, type.name, zone, spot) || input.refused(type.name, zone, spot)) continue;
+            const used = Math.min(holds, left, room);
+            const price = spot ? type.spotPrice : type.price;
+            const cost = (price / used) * (1 + type.bootS / 100);
+            if (!best || cost < best.cost - 1e-9) best = { type, zone, spot, cost };
+          }
+        }
+      }
+      if (!best) break;
+      const { type, zone, spot } = best;
+      const key = `${type.name} ${zone} ${spot}`;
+      const wish = wishes.get(key) ?? { type: type.name, zone, spot, count: 0 };
+      wish.count++;
+      wishes.set(key, wish);
+      machines++;
+      const fresh: MachineView = {
+        name: "",
+        type,
+        zone,
+        spot,
+        placeable: false,
+        readyInS: type.bootS,
+        free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
+        leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
+        images: new Set(),
+        fetching: new Set(),
+        backlogGb: 0,
+        victims: [],
+      };
+      virtual.push(fresh);
+      put(fresh);
+    }
+  }
+  return [...wishes.values()];
+}
--- /dev/null
+++ b/src/coordination/magnet/rings.ts
@@ -0,0 +1,27 @@
+/**
+ * The three rings of the paper's section 3.3: outer [0, degrad/2), secondary [degrad/2, degrad),
+ * inner [degrad, 1].
+ */
+export type Ring = "outer" | "secondary" | "inner";
+
+export interface Capacity {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** One share compares machines: that of whatever they are fullest in. */
+export function loadOf(used: Capacity, total: Capacity): number {
+  const share = (a: number, b: number): number => (b > 0 ? a / b : 0);
+  return Math.max(
+    share(used.cpus, total.cpus),
+    share(used.gpus, total.gpus),
+    share(used.memoryGb, total.memoryGb),
+  );
+}
+
+export function ringOf(load: number, degrad: number): Ring {
+  // Rounding of sums must not move a machine that stands exactly on a bound.
+  if (load < degrad / 2 - 1e-9) return "outer";
+  return load < degrad - 1e-9 ? "secondary" : "inner";
+}
--- /dev/null
+++ b/src/coordination/views.ts
@@ -0,0 +1,101 @@
+import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { Amount } from "../bookkeeping/machines.js";
+
+/** Snapshots that the pure decisions work on. The conductor makes them; decisions may scribble on them. */
+
+export interface VictimView {
+  /** Index into whatever list the conductor kept; decisions hand it back. */
+  ref: number;
+  jobId: string;
+  team: string;
+  priority: number;
+  /** Its job is beyond its team's guarantee, so that another team's guaranteed work may take its place. */
+  borrowed: boolean;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  /** Seconds of work lost by stopping it now, together with its gang. */
+  lossS: number;
+}
+
+export interface MachineView {
+  name: string;
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  /** Up and to be trusted with new work; others are only looked at as what will be there. */
+  placeable: boolean;
+  /** Expected seconds until it can take work; 0 when it is up. */
+  readyInS: number;
+  free: Amount;
+  /** What tasks that are being stopped will leave. */
+  leaving: Amount;
+  images: Set<string>;
+  /** Images on their way: a task can wait for one of them without a fetch of its own. */
+  fetching: Set<string>;
+  backlogGb: number;
+  victims: VictimView[];
+}
+
+export interface JobView {
+  spec: JobSpec;
+  /** Tasks without result or attempt. */
+  pending: number;
+  /** How many more its team's limit allows now; shared by the jobs of a team through `quota`. */
+  guaranteed: boolean;
+  /** Tasks that may be somewhere, by zone. */
+  zones: Map<string, number>;
+  avoid: Set<string>;
+  /** Seconds until it should be complete; null: no such wish. */
+  slackS: number | null;
+  /** Where a move wants it; null: anywhere. */
+  prefer: string | null;
+}
+
+export interface QuotaView {
+  /** Tasks of this job's shape that the team may still start. */
+  room(spec: JobSpec): number;
+  take(spec: JobSpec, tasks: number): void;
+}
+
+const EPS = 1e-6;
+
+export function fits(spec: JobSpec, free: Amount): boolean {
+  return spec.cpus <= free.cpus + EPS && spec.gpus <= free.gpus + EPS && spec.memoryGb <= free.memoryGb + EPS;
+}
+
+export function howMany(spec: JobSpec, free: Amount): number {
+  const by = (need: number, have: number): number => (need > 0 ? Math.floor((have + EPS) / need) : Infinity);
+  return Math.max(
+    0,
+    Math.min(by(spec.cpus, free.cpus), by(spec.gpus, free.gpus), by(spec.memoryGb, free.memoryGb)),
+  );
+}
+
+export function takeFrom(free: Amount, spec: JobSpec, tasks: number): void {
+  free.cpus -= spec.cpus * tasks;
+  free.gpus -= spec.gpus * tasks;
+  free.memoryGb -= spec.memoryGb * tasks;
+}
+
+export function addTo(free: Amount, what: Amount): void {
+  free.cpus += what.cpus;
+  free.gpus += what.gpus;
+  free.memoryGb += what.memoryGb;
+}
+
+/** Type, zone and kind that the job itself asks for (rule `wrong_place`). */
+export function allows(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
+  return (
+    (spec.types === null || spec.types.includes(type)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    (!spot || spec.spot)
+  );
+}
+
+/** Tasks that a zone may still take, given where others of the job may be (rule `wrong_place`). */
+export function zoneRoom(spec: JobSpec, zones: Map<string, number>, zone: string): number {
+  if (spec.oneZone) for (const [other, n] of zones) if (other !== zone && n > 0) return 0;
+  if (!spec.spread) return Infinity;
+  return Math.ceil(spec.tasks / 2) - (zones.get(zone) ?? 0);
+}
--- /dev/null
+++ b/src/transport/peerLink.ts
@@ -0,0 +1,131 @@
+import * as net from "node:net";
+import type { Clock, Timer } from "./clock.js";
+import { splitAddress } from "./address.js";
+
+/** Frames are a 4-byte big-endian length, then that many bytes. */
+const HEADER = 4;
+const MAX_FRAME = 256 * 1024;
+
+/** Splits a byte stream into frames. */
+export class FrameReader {
+  private held: Buffer = Buffer.alloc(0);
+
+  /** Returns the whole frames so far, or null when the stream makes no sense. */
+  push(part: Buffer): Buffer[] | null {
+    this.held = this.held.length === 0 ? part : Buffer.concat([this.held, part]);
+    const frames: Buffer[] = [];
+    while (this.held.length >= HEADER) {
+      const length = this.held.readUInt32BE(0);
+      if (length > MAX_FRAME) return null;
+      if (this.held.length < HEADER + length) break;
+      frames.push(this.held.subarray(HEADER, HEADER + length));
+      this.held = this.held.subarray(HEADER + length);
+    }
+    return frames;
+  }
+}
+
+export function frame(payload: Buffer): Buffer {
+  const out = Buffer.allocUnsafe(HEADER + payload.length);
+  out.writeUInt32BE(payload.length, 0);
+  payload.copy(out, HEADER);
+  return out;
+}
+
+export interface PeerPort {
+  /** Sends if there is a link; a peer that can't be reached just misses the message. */
+  send(peer: string, payload: Buffer): void;
+}
+
+export interface PeerLinkOptions {
+  listen: string;
+  peers: { name: string; address: string }[];
+  clock: Clock;
+  /** Frames carry their sender's name inside; the link itself vouches for nothing. */
+  onFrame: (payload: Buffer) => void;
+  onError: (error: Error) => void;
+}
+
+/** One outgoing connection to each peer; whatever comes in is handed on. */
+export class PeerLinks implements PeerPort {
+  private readonly out = new Map<string, net.Socket>();
+  private readonly retries = new Set<Timer>();
+  private server: net.Server | null = null;
+  private closed = false;
+
+  constructor(private readonly options: PeerLinkOptions) {}
+
+  start(): Promise<void> {
+    const server = net.createServer((socket) => this.read(socket));
+    this.server = server;
+    for (const peer of this.options.peers) this.dial(peer);
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(splitAddress(this.options.listen), () => {
+        server.off("error", reject);
+        server.on("error", this.options.onError);
+        resolve();
+      });
+    });
+  }
+
+  send(peer: string, payload: Buffer): void {
+    const socket = this.out.get(peer);
+    // A link that doesn't drain belongs to a silent peer: late vouching is worth nothing, so drop.
+    if (!socket || socket.writableLength > 4 * MAX_FRAME) return;
+    socket.write(frame(payload));
+  }
+
+  close(): void {
+    this.closed = true;
+    for (const timer of this.retries) timer.cancel();
+    for (const socket of this.out.values()) socket.destroy();
+    this.server?.close();
+  }
+
+  private dial(peer: { name: string; address: string }): void {
+    if (this.closed) return;
+    const socket = net.connect(splitAddress(peer.address));
+    socket.setNoDelay(true);
+    // A connection attempt through a cut hangs without an error: give it up and try anew.
+    socket.setTimeout(2500, () => {
+      if (socket.connecting) socket.destroy();
+    });
+    socket.on("connect", () => {
+      socket.setTimeout(0);
+      this.out.set(peer.name, socket);
+    });
+    socket.on("data", () => undefined);
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      if (this.out.get(peer.name) === socket) this.out.delete(peer.name);
+      const timer = this.options.clock.after(400, () => {
+        this.retries.delete(timer);
+        this.dial(peer);
+      });
+      this.retries.add(timer);
+    });
+  }
+
+  private read(socket: net.Socket): void {
+    const reader = new FrameReader();
+    socket.setNoDelay(true);
+    socket.on("error", () => undefined);
+    socket.on("data", (part: Buffer) => {
+      const frames = reader.push(part);
+      if (!frames) {
+        socket.destroy();
+        return;
+      }
+      for (const payload of frames) {
+        try {
+          this.options.onFrame(payload);
+        } catch (error) {
+          this.options.onError(error as Error);
+          socket.destroy();
+          return;
+        }
+      }
+    });
+  }
+}
