--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
   {
     rules: {
       "@typescript-eslint/no-non-null-assertion": "off",
-      "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
+      "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", varsIgnorePattern: "^_$" }],
       eqeqeq: "error",
     },
   },
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -43,7 +43,7 @@
   const o = asObject(value);
   const at = asAmount(o?.at);
   if (!o || at === null || asText(o.id) === null || asCount(o.tasks) === null) return null;
-  const { at: _at, x, ...spec } = o;
+  const { at: _, x, ...spec } = o;
   return { spec: spec as unknown as JobSpec, acceptedAt: new Date(at), cancelled: x === true };
 }
 
