--- /dev/null
+++ b/test/days.test.ts
@@ -0,0 +1,187 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { World } from "./standins/world.js";
+
+type Trouble = (w: World) => void;
+
+const crashLeader =
+  (backMs: number): Trouble =>
+  (w) =>
+    w.crash(w.leader ?? "n0", backMs);
+const node = (w: World): string => `${w.leader ?? "n0"}:80`;
+
+/** Whole days on stand-ins: whatever fails, no rule breaks, and every accepted job comes to its end. */
+const days: { name: string; repeat?: number; at: [number, Trouble][] }[] = [
+  { name: "quiet", at: [] },
+  { name: "late copies of old requests", repeat: 0.2, at: [] },
+  {
+    name: "leader crashes twice",
+    repeat: 0.05,
+    at: [
+      [15, crashLeader(3000)],
+      [30, crashLeader(3000)],
+    ],
+  },
+  {
+    name: "instant restart in the middle of an election",
+    at: [
+      [15, crashLeader(100)],
+      [16.5, crashLeader(80)],
+      [18, crashLeader(90)],
+    ],
+  },
+  { name: "all controllers crash", at: [[20, (w) => ["n0", "n1", "n2"].forEach((n) => w.crash(n, 3000))]] },
+  {
+    name: "rolling restart",
+    at: [
+      [10, (w) => w.crash("n0", 2000)],
+      [20, (w) => w.crash("n1", 2000)],
+      [30, (w) => w.crash("n2", 2000)],
+    ],
+  },
+  { name: "state outage longer than the leases", at: [[15, (w) => w.state.outage(20_000)]] },
+  {
+    name: "state outage with a crash of the leader",
+    at: [
+      [15, (w) => w.state.outage(14_000)],
+      [19, crashLeader(2000)],
+    ],
+  },
+  { name: "leader refused by the state service alone", at: [[15, (w) => w.state.refuse(node(w), 15_000)]] },
+  {
+    name: "leader cut from the state service, packets held",
+    repeat: 0.05,
+    at: [
+      [
+        15,
+        (w) => {
+          const l = node(w);
+          w.net.cut(
+            (h) => h === l,
+            (h) => h === "state:1",
+            15_000,
+          );
+        },
+      ],
+    ],
+  },
+  {
+    name: "leader cut from the workers, packets held",
+    at: [
+      [
+        15,
+        (w) => {
+          const l = node(w);
+          w.net.cut(
+            (h) => h === l,
+            (h) => h.startsWith("10."),
+            25_000,
+          );
+        },
+      ],
+    ],
+  },
+  {
+    name: "leader cut from its peers",
+    at: [
+      [
+        15,
+        (w) => {
+          const l = node(w);
+          w.net.cut(
+            (h) => h === l,
+            (h) => /^n\d/.test(h) && h !== l,
+            20_000,
+          );
+        },
+      ],
+    ],
+  },
+  {
+    name: "a zone's machines cut off, packets held",
+    repeat: 0.05,
+    at: [
+      [
+        15,
+        (w) => {
+          const inB = new Set(
+            [...w.workers.values()].filter((x) => x.tuft.patch === "b").map((x) => x.tuft.address),
+          );
+          w.net.cut(
+            (h) => inB.has(h),
+            () => true,
+            18_000,
+          );
+        },
+      ],
+    ],
+  },
+  {
+    name: "machines hang and go on",
+    repeat: 0.05,
+    at: [
+      [12, (w) => [...w.workers.values()].slice(0, 3).forEach((x) => x.hang(7500))],
+      [25, (w) => [...w.workers.values()].slice(1, 4).forEach((x) => x.hang(20_000))],
+    ],
+  },
+  {
+    name: "machines vanish",
+    at: [[12, (w) => [...w.workers.keys()].slice(0, 3).forEach((n) => w.cloud.take(n))]],
+  },
+  {
+    name: "cloud outage while machines vanish",
+    at: [
+      [12, (w) => w.cloud.outage(15_000)],
+      [13, (w) => [...w.workers.keys()].slice(0, 2).forEach((n) => w.cloud.take(n))],
+    ],
+  },
+  {
+    name: "a machine fails whatever it starts",
+    at: [
+      [
+        10,
+        (w) => {
+          const [n] = w.workers.keys();
+          if (n) w.faultyMachines.add(n);
+        },
+      ],
+    ],
+  },
+  {
+    name: "much at once",
+    repeat: 0.1,
+    at: [
+      [12, (w) => w.state.outage(9000)],
+      [14, (w) => [...w.workers.values()].slice(0, 2).forEach((x) => x.hang(9000))],
+      [16, crashLeader(1500)],
+      [24, crashLeader(200)],
+      [
+        25,
+        (w) => {
+          const l = node(w);
+          w.net.cut(
+            (h) => h === l,
+            (h) => h.startsWith("10."),
+            9000,
+          );
+        },
+      ],
+      [32, (w) => w.cloud.outage(6000)],
+      [33, (w) => [...w.workers.keys()].slice(0, 2).forEach((n) => w.cloud.take(n))],
+    ],
+  },
+];
+
+for (const [index, day] of days.entries()) {
+  test(`a day: ${day.name}`, async () => {
+    const w = new World(100 + index);
+    w.net.repeatShare = day.repeat ?? 0;
+    await w.run(3);
+    for (const [atS, trouble] of day.at) w.clock.after(atS * 1000, () => trouble(w));
+    await w.mixedWork(40);
+    await w.run(110);
+    assert.deepEqual(w.broken, []);
+    assert.deepEqual(w.unfinished(), [], "every accepted job is done or cancelled");
+    assert.ok(w.started > 20, `tasks were started (${w.started})`);
+  });
+}
--- /dev/null
+++ b/test/magnet.test.ts
@@ -0,0 +1,156 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { loadOf, ringOf } from "../src/coordination/magnet/rings.js";
+import { release, type MeasuredMachine } from "../src/coordination/magnet/release.js";
+import { squeeze, type LoadedMachine, type LoadedTask } from "../src/coordination/magnet/squeeze.js";
+
+test("rings: [0, degrad/2) outer, [degrad/2, degrad) secondary, the rest inner", () => {
+  for (const [load, ring] of [
+    [0, "outer"],
+    [0.39, "outer"],
+    [0.4, "secondary"],
+    [0.1 + 0.2 + 0.1, "secondary"],
+    [0.79, "secondary"],
+    [0.8, "inner"],
+    [1, "inner"],
+  ] as const) {
+    assert.equal(ringOf(load, 0.8), ring, `load ${load}`);
+  }
+});
+
+test("load: the share of whatever a machine is fullest in", () => {
+  const total = { cpus: 10, gpus: 0, memoryGb: 100 };
+  assert.equal(loadOf({ cpus: 2, gpus: 0, memoryGb: 50 }, total), 0.5);
+  assert.equal(loadOf({ cpus: 9, gpus: 0, memoryGb: 50 }, total), 0.9);
+});
+
+const total = { cpus: 100, gpus: 0, memoryGb: 100 };
+let refs = 0;
+function task(percent: number, extra: Partial<LoadedTask> = {}): LoadedTask {
+  return {
+    ref: refs++,
+    jobId: "j",
+    cpus: percent,
+    gpus: 0,
+    memoryGb: 0,
+    movable: true,
+    mayMoveTo: () => true,
+    ...extra,
+  };
+}
+function machine(name: string, tasks: LoadedTask[], open = true): LoadedMachine {
+  return { name, total, tasks, open };
+}
+const routes = (moves: { from: string; to: string }[]): string[] => moves.map((m) => `${m.from}>${m.to}`);
+
+test("squeeze: tables", () => {
+  const cases: { name: string; machines: LoadedMachine[]; cap?: number; want: string[] }[] = [
+    {
+      // The paper's figure 2: loads of 4, 6, 10 and 26 under a bound of 33; all but the last step fit there too.
+      name: "merges the two lightest again and again while under degrad/2",
+      machines: [
+        machine("a", [task(4)]),
+        machine("b", [task(6)]),
+        machine("c", [task(10)]),
+        machine("d", [task(26)]),
+      ],
+      want: ["a>b", "b>c", "b>c"],
+    },
+    { name: "stops at degrad/2", machines: [machine("a", [task(20)]), machine("b", [task(20)])], want: [] },
+    {
+      name: "leaves the secondary ring alone",
+      machines: [machine("a", [task(5)]), machine("b", [task(45)])],
+      want: [],
+    },
+    {
+      name: "empties a machine whole or not at all",
+      machines: [
+        machine("a", [task(2), task(3, { movable: false })]),
+        machine("b", [task(6, { movable: false })]),
+      ],
+      want: [],
+    },
+    {
+      name: "turns the merge round when only the heavier can move",
+      machines: [machine("a", [task(2, { movable: false })]), machine("b", [task(6)])],
+      want: ["b>a"],
+    },
+    {
+      name: "keeps to the cap, counted in tasks",
+      machines: [machine("a", [task(1), task(1), task(1)]), machine("b", [task(9), task(1)])],
+      cap: 2,
+      want: ["b>a", "b>a"],
+    },
+    {
+      name: "goes only where the job may run",
+      machines: [
+        machine("a", [task(1, { mayMoveTo: () => false })]),
+        machine("b", [task(2, { mayMoveTo: (m) => m === "c" })]),
+        machine("c", [task(3, { movable: false })]),
+      ],
+      want: ["b>c"],
+    },
+    {
+      name: "not onto a closed machine",
+      machines: [machine("a", [task(1)]), machine("b", [task(2, { movable: false })], false)],
+      want: [],
+    },
+  ];
+  for (const c of cases) {
+    assert.deepEqual(
+      routes(squeeze(c.machines, { degrad: c.name.includes("again") ? 0.66 : 0.8, moveCap: c.cap ?? 4 })),
+      c.want,
+      c.name,
+    );
+  }
+});
+
+test("release: tables", () => {
+  const measured = (m: LoadedMachine, use: number, asked: number): MeasuredMachine => ({
+    ...m,
+    measured: use,
+    requested: asked,
+  });
+  const light = measured(machine("light", [task(5)]), 0.05, 0.05);
+  const lighter = measured(machine("lighter", []), 0, 0);
+  const cases: { name: string; hot: MeasuredMachine; others?: MeasuredMachine[]; want: string[] }[] = [
+    {
+      name: "relieves a machine past violate that uses more than was asked",
+      hot: measured(machine("hot", [task(30), task(20)]), 0.95, 0.5),
+      want: ["hot>lighter"],
+    },
+    { name: "not for what was asked for", hot: measured(machine("hot", [task(95)]), 0.95, 0.95), want: [] },
+    { name: "not below violate", hot: measured(machine("hot", [task(30)]), 0.85, 0.3), want: [] },
+    {
+      name: "never a gang's member or anything dear",
+      hot: measured(machine("hot", [task(30, { movable: false })]), 0.95, 0.3),
+      want: [],
+    },
+    {
+      name: "to no machine that it would fill past degrad",
+      hot: measured(machine("hot", [task(85)]), 0.95, 0.85),
+      want: [],
+    },
+    {
+      name: "with nowhere to go nothing moves",
+      hot: measured(machine("hot", [task(30)]), 0.95, 0.3),
+      others: [],
+      want: [],
+    },
+  ];
+  for (const c of cases) {
+    const moves = release([c.hot, ...(c.others ?? [light, lighter])], {
+      degrad: 0.8,
+      violate: 0.89,
+      moveCap: 4,
+    });
+    assert.deepEqual(routes(moves), c.want, c.name);
+  }
+  const big = task(30);
+  const hot = measured(machine("hot", [task(20), big]), 0.95, 0.5);
+  assert.equal(
+    release([hot, lighter], { degrad: 0.8, violate: 0.89, moveCap: 4 })[0]?.ref,
+    big.ref,
+    "the largest first",
+  );
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { operatorDefaults, readOperator } from "../src/settings/operator.js";
+import { readPlatform } from "../src/settings/platform.js";
+
+const good = `
+node_name = "n0"
+zone = "a"
+serve_on = "10.0.0.1:8080"
+cluster_listen = "10.0.0.1:8081"
+colour = "a field to come"
+[[peers]]
+node_name = "n1"
+zone = "a"
+address = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+size = 3
+zones = ["a", "b"]
+clock_error_ms = 100.0
+[[cluster.teams]]
+name = "t"
+cpus = 48
+cpus_max = 136.0
+gpus = 2.0
+gpus_max = 6.0
+[cluster.workers]
+report_s = 2.0
+lease_s = 14.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 39.0
+[cluster.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 20
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 8.0
+[cluster.machine_limits]
+cpu = 0.17
+mem_mb = 178.0
+max_connections = 1200
+`;
+
+test("platform settings: each mistake is named with its path, value and reason", () => {
+  assert.equal(readPlatform(good).teams[0]?.cpus, 48);
+  const cases: [string, string, RegExp][] = [
+    ['node_name = "n0"', "", /^node_name: missing, must be a non-empty string$/],
+    ['serve_on = "10.0.0.1:8080"', 'serve_on = "10.0.0.1"', /^serve_on = "10.0.0.1": must be an address/],
+    ["cpus_max = 136.0", 'cpus_max = "many"', /^cluster\.teams\[0\]\.cpus_max = "many": must be a number/],
+    ["lease_s = 14.0", "lease_s = -1.0", /^cluster\.workers\.lease_s = -1: must be a number from 0\.1/],
+    ['address = "10.0.0.2:8081"', "address = 3", /^peers\[0\]\.address = 3/],
+    ["[endpoints]", "[endpoint]", /^endpoints: missing, must be a table/],
+    ['zones = ["a", "b"]', "zones = []", /^cluster\.zones = \[\]: must be a non-empty array/],
+    ["size = 3", "size = ", /^not TOML/],
+  ];
+  for (const [from, to, want] of cases) {
+    assert.ok(good.includes(from));
+    assert.throws(
+      () => readPlatform(good.replace(from, to)),
+      (e: Error) => want.test(e.message),
+      `${from} -> ${to}`,
+    );
+  }
+});
+
+test("operators' settings: defaults, values, mistakes", async () => {
+  assert.deepEqual(await readOperator("<lichenturn/>"), operatorDefaults);
+  const set = await readOperator(
+    '<lichenturn><magnet degrad="0.7" moveCap="2"/><fleet idleKeepS="30"/></lichenturn>',
+  );
+  assert.deepEqual(
+    [set.degrad, set.moveCap, set.idleKeepS, set.violate],
+    [0.7, 2, 30, operatorDefaults.violate],
+  );
+  for (const [text, want] of [
+    ["<lichenturn", /not XML/],
+    ["<other/>", /the root must be lichenturn/],
+    [
+      '<lichenturn><magnet degrad="1.5"/></lichenturn>',
+      /\/lichenturn\/magnet\/@degrad = "1.5": must be a number from 0.05 to 1/,
+    ],
+    ['<lichenturn><magnet pull="1"/></lichenturn>', /@pull = "1": no such setting/],
+    ['<lichenturn><a moveCap="1"/><b moveCap="2"/></lichenturn>', /given twice/],
+    ['<lichenturn><magnet violate="0.5"/></lichenturn>', /must not be below degrad/],
+  ] as const) {
+    await assert.rejects(readOperator(text), want, text);
+  }
+});
--- /dev/null
+++ b/test/standins/world.ts
@@ -0,0 +1,402 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Controller } from "../../src/service.js";
+import { operatorDefaults } from "../../src/settings/operator.js";
+import type { Platform } from "../../src/settings/platform.js";
+import type { Reply } from "../../src/transport/httpClient.js";
+import { SimClock } from "./clock.js";
+import { SimCloud, type SimType } from "./cloud.js";
+import { SimNet } from "./net.js";
+import { SimState } from "./state.js";
+import { SimWorker, type SimTask } from "./worker.js";
+
+export const TYPES: SimType[] = [
+  {
+    name: "small",
+    cores: 4,
+    gpus: 0,
+    memoryGb: 16,
+    price: 0.2,
+    lowPrice: 0.05,
+    bootS: 3,
+    patches: ["a", "b"],
+  },
+  {
+    name: "large",
+    cores: 16,
+    gpus: 0,
+    memoryGb: 64,
+    price: 0.9,
+    lowPrice: 0.2,
+    bootS: 5,
+    patches: ["a", "b"],
+  },
+  { name: "accel", cores: 8, gpus: 2, memoryGb: 64, price: 3, lowPrice: 1, bootS: 4, patches: ["a", "b"] },
+];
+
+export interface SimJob {
+  spec: Record<string, unknown> & { ref: string; spores: number; form: string; crew: string; cores: number };
+  runS: number | null;
+  askedMs: number;
+  accepted: boolean;
+  told: string | null;
+  toldMs: number;
+  cancelAsked: boolean;
+  done: Set<string>;
+}
+
+const NODES = ["n0", "n1", "n2"];
+const LIMITS = { one: { cpus: 20, gpus: 4 }, two: { cpus: 24, gpus: 4 } };
+
+export function platformOf(index: number): Platform {
+  const name = NODES[index]!;
+  const team = (n: "one" | "two"): Platform["teams"][number] => ({
+    name: n,
+    cpus: 8,
+    cpusMax: LIMITS[n].cpus,
+    gpus: 2,
+    gpusMax: LIMITS[n].gpus,
+  });
+  return {
+    node: name,
+    zone: "a",
+    listen: `${name}:80`,
+    peerListen: `${name}:81`,
+    peers: NODES.filter((n) => n !== name).map((n) => ({ name: n, zone: "a", address: `${n}:81` })),
+    cloud: "cloud:1",
+    state: "state:1",
+    size: 3,
+    zones: ["a", "b"],
+    clockErrorMs: 10,
+    teams: [team("one"), team("two")],
+    objectives: [],
+    reportS: 1,
+    leaseS: 8,
+    gangWaitS: 20,
+    gangPeerS: 4,
+    cancelS: 25,
+    stateRps: 300,
+    stateWriteRps: 60,
+    stateValueKb: 8,
+    stateTxnOps: 20,
+    cloudRps: 10,
+    listLagS: 3,
+    maxConnections: 500,
+  };
+}
+
+/** A whole region on a simulated clock, with every rule of the protocol watched. */
+export class World {
+  readonly clock = new SimClock();
+  readonly net: SimNet;
+  readonly state: SimState;
+  readonly cloud: SimCloud;
+  readonly workers = new Map<string, SimWorker>();
+  readonly jobs = new Map<string, SimJob>();
+  readonly broken: string[] = [];
+  readonly faultyMachines = new Set<string>();
+  started = 0;
+  private readonly nodes = new Map<string, { controller: Controller; alive: boolean }>();
+  private lives = 0;
+  readonly random: () => number;
+
+  constructor(seed: number) {
+    const rng = xoroshiro128plus(seed);
+    this.random = () => (rng.next() >>> 0) / 2 ** 32;
+    this.net = new SimNet(this.clock, this.random);
+    this.state = new SimState(this.clock, this.net, "state:1");
+    this.cloud = new SimCloud(
+      this.clock,
+      this.net,
+      "cloud:1",
+      TYPES,
+      3000,
+      (t) => {
+        this.workers.set(
+          t.ref,
+          new SimWorker(
+            t,
+            this.clock,
+            this.net,
+            NODES.map((n) => ({ name: n, address: `${n}:80` })),
+            { reportS: 1, leaseS: 8 },
+            {
+              runS: (id) => this.jobs.get(id)?.runS ?? null,
+              gangSize: (id) => {
+                const spec = this.jobs.get(id)?.spec;
+                return spec?.form === "ensemble" ? spec.spores : 1;
+              },
+              started: (w, task) => this.onStart(w, task),
+              ended: (_w, task) => this.onEnd(task),
+              gang: (id, sprout) => this.gang(id, sprout),
+              faulty: (w) => this.faultyMachines.has(w.tuft.ref),
+            },
+            this.random,
+          ),
+        );
+      },
+      (t) => {
+        this.workers.get(t.ref)?.kill();
+        this.workers.delete(t.ref);
+      },
+    );
+    for (let i = 0; i < NODES.length; i++) this.boot(i);
+  }
+
+  get leader(): string | null {
+    const hold = this.state.keys.get("lead/hold")?.data as { node: string } | undefined;
+    return hold?.node ?? null;
+  }
+
+  private boot(index: number): void {
+    const name = NODES[index]!;
+    const node = { alive: true, controller: null as unknown as Controller };
+    const caller = this.net.caller(`${name}:80`, () => node.alive);
+    node.controller = new Controller(platformOf(index), operatorDefaults, {
+      clock: this.clock,
+      state: caller,
+      cloud: caller,
+      workers: caller,
+      peers: {
+        send: (peer, payload) => {
+          if (!node.alive) return;
+          const copy = Buffer.from(payload);
+          this.net.carry(`${name}:80`, `${peer}:80`, () => {
+            const other = this.nodes.get(peer);
+            if (other?.alive) other.controller.onPeer(copy);
+          });
+        },
+      },
+      life: `life-${++this.lives}`,
+      random: this.random,
+    });
+    this.nodes.set(name, node);
+    this.net.listen(`${name}:80`, (q, answer) => {
+      if (!node.alive) return;
+      const body = Buffer.from(q.body === undefined ? "" : JSON.stringify(q.body));
+      node.controller.onRequest({ method: q.method, path: q.path, body }, (a) => {
+        if (node.alive) answer({ status: a.status, body: a.body });
+      });
+    });
+    node.controller.start();
+  }
+
+  crash(name: string, backMs: number): void {
+    const node = this.nodes.get(name);
+    if (!node?.alive) return;
+    node.alive = false;
+    node.controller.stop();
+    this.net.gone(`${name}:80`);
+    this.clock.after(backMs, () => this.boot(NODES.indexOf(name)));
+  }
+
+  async run(seconds: number): Promise<void> {
+    await this.clock.advance(seconds * 1000);
+  }
+
+  ask(method: string, path: string, body?: unknown): Promise<Reply> {
+    const up = NODES.filter((n) => this.nodes.get(n)!.alive);
+    const node = up[Math.floor(this.random() * up.length)] ?? "n0";
+    return this.net.caller("user:1", () => true).call(`${node}:80`, method, path, body, 5000);
+  }
+
+  submit(fields: Partial<SimJob["spec"]> & { ref: string }, runS: number | null): SimJob {
+    const spec = {
+      strain: "s",
+      crew: "one",
+      form: "array",
+      rank: "standard",
+      spores: 1,
+      cores: 2,
+      gpus: 0,
+      memoryGb: 4,
+      seedstock: "img",
+      pullGb: 1,
+      together: false,
+      scatter: false,
+      windfall: true,
+      guessS: runS ?? 0,
+      cairnS: 0,
+      stashS: 0,
+      ...fields,
+    } as SimJob["spec"];
+    const job: SimJob = {
+      spec,
+      runS,
+      askedMs: this.clock.nowMs(),
+      accepted: false,
+      told: null,
+      toldMs: Infinity,
+      cancelAsked: false,
+      done: new Set(),
+    };
+    this.jobs.set(spec.ref, job);
+    const attempt = (): void => {
+      this.ask("POST", "/v1/jobs", spec).then(
+        (r) => {
+          if (r.status === 201 || r.status === 200) {
+            job.accepted = true;
+            this.hear(job, r);
+            this.poll(job);
+          } else if (r.status === 400 || r.status === 422) {
+            if (job.accepted) this.broken.push(`forgotten ${spec.ref}: ${r.status}`);
+          } else this.clock.after(1000, attempt);
+        },
+        () => this.clock.after(1000, attempt),
+      );
+    };
+    attempt();
+    return job;
+  }
+
+  cancel(job: SimJob): void {
+    job.cancelAsked = true;
+    const attempt = (): void => {
+      this.ask("POST", `/v1/jobs/${job.spec.ref}/cancel`).then(
+        (r) => {
+          if (r.status === 200) this.hear(job, r);
+          else this.clock.after(1000, attempt);
+        },
+        () => this.clock.after(1000, attempt),
+      );
+    };
+    attempt();
+  }
+
+  private poll(job: SimJob): void {
+    this.clock.after(2500, () => {
+      this.ask("GET", `/v1/jobs/${job.spec.ref}`).then(
+        (r) => {
+          if (r.status === 404) this.broken.push(`forgotten ${job.spec.ref}`);
+          if (r.status === 200) this.hear(job, r);
+          this.poll(job);
+        },
+        () => this.poll(job),
+      );
+    });
+  }
+
+  private hear(job: SimJob, r: Reply): void {
+    const { phase } = r.body as { phase: string };
+    if (job.told !== null && phase !== job.told)
+      this.broken.push(`went_back ${job.spec.ref}: ${job.told} ${phase}`);
+    if (phase === "withdrawn" && !job.cancelAsked)
+      this.broken.push(`went_back ${job.spec.ref}: nobody cancelled`);
+    if (phase === "done" && job.done.size < job.spec.spores) this.broken.push(`not_done ${job.spec.ref}`);
+    if ((phase === "done" || phase === "withdrawn") && job.told === null) {
+      job.told = phase;
+      job.toldMs = this.clock.nowMs();
+      if (phase === "withdrawn") {
+        this.clock.after(25_000, () => {
+          if (this.live(job.spec.ref).length > 0) this.broken.push(`ran_cancelled ${job.spec.ref}`);
+        });
+      }
+    }
+  }
+
+  live(ref: string): { w: SimWorker; task: SimTask }[] {
+    const out = [];
+    for (const w of this.workers.values()) {
+      for (const task of w.tasks.values()) {
+        if (task.phase !== "exited" && task.spore.startsWith(`${ref}/`)) out.push({ w, task });
+      }
+    }
+    return out;
+  }
+
+  private gang(id: string, sprout: number): { w: SimWorker; task: SimTask }[] {
+    return this.live(id).filter((x) => x.task.sprout === sprout && x.task.phase !== "fetching");
+  }
+
+  private onEnd(task: SimTask): void {
+    if (task.cause === "done") this.jobs.get(task.spore.split("/")[0]!)?.done.add(task.spore);
+  }
+
+  private onStart(w: SimWorker, task: SimTask): void {
+    this.started++;
+    const ref = task.spore.split("/")[0]!;
+    const job = this.jobs.get(ref);
+    if (!job) {
+      this.broken.push(`invented start ${task.spore}`);
+      return;
+    }
+    const { spec } = job;
+    const others = this.live(ref).filter((x) => x.task !== task);
+    if (others.some((x) => x.task.spore === task.spore)) this.broken.push(`ran_twice ${task.spore}`);
+    if (job.told === "withdrawn" && this.clock.nowMs() - job.toldMs > 25_000)
+      this.broken.push(`ran_cancelled ${ref}`);
+    const { breed, patch, windfall } = w.tuft;
+    const breeds = spec.breeds as string[] | null | undefined;
+    const wrong =
+      (breeds && !breeds.includes(breed)) ||
+      (spec.patch && spec.patch !== patch) ||
+      (windfall && spec.windfall !== true) ||
+      (spec.together && others.some((x) => x.w.tuft.patch !== patch)) ||
+      (spec.scatter &&
+        others.filter((x) => x.w.tuft.patch === patch).length + 1 > Math.ceil(spec.spores / 2));
+    if (wrong) this.broken.push(`wrong_place ${task.spore} on ${breed} ${patch}`);
+    const use = { cpus: 0, gpus: 0 };
+    for (const other of this.jobs.values()) {
+      if (other.spec.crew !== spec.crew) continue;
+      const n = this.live(other.spec.ref).length;
+      use.cpus += n * other.spec.cores;
+      use.gpus += n * Number(other.spec.gpus);
+    }
+    const limit = LIMITS[spec.crew as "one" | "two"];
+    if (use.cpus > limit.cpus || use.gpus > limit.gpus)
+      this.broken.push(`quota ${spec.crew}: ${JSON.stringify(use)}`);
+  }
+
+  /** Submits a mixed day's work over the next `seconds`. */
+  async mixedWork(seconds: number): Promise<void> {
+    const made: SimJob[] = [];
+    const until = this.clock.nowMs() + seconds * 1000;
+    let n = this.jobs.size;
+    while (this.clock.nowMs() < until) {
+      const ref = `job-${String(n++).padStart(6, "0")}`;
+      const kind = this.random();
+      const crew = this.random() < 0.5 ? "one" : "two";
+      if (kind < 0.3) {
+        const spores = 1 + Math.floor(this.random() * 3);
+        const fields = {
+          ref,
+          crew,
+          form: "standing",
+          rank: "prod",
+          spores,
+          cores: 1,
+          windfall: false,
+          scatter: true,
+        };
+        made.push(this.submit(fields, null));
+      } else if (kind < 0.75) {
+        const spores = 1 + Math.floor(this.random() * 8);
+        made.push(this.submit({ ref, crew, spores, together: this.random() < 0.2 }, 1 + this.random() * 6));
+      } else {
+        const spores = 1 + Math.floor(this.random() * 2);
+        const fields = {
+          ref,
+          crew,
+          form: "ensemble",
+          spores,
+          gpus: 1,
+          together: true,
+          rank: "high",
+          cairnS: 2,
+          stashS: 1,
+        };
+        made.push(this.submit(fields, 2 + this.random() * 6));
+      }
+      if (this.random() < 0.5 && made.length > 2) {
+        const job = made[Math.floor(this.random() * made.length)]!;
+        if (job.accepted && !job.cancelAsked) this.cancel(job);
+      }
+      await this.run(0.5 + this.random() * 2.5);
+    }
+    for (const job of made)
+      if (job.spec.form === "standing" && job.accepted && !job.cancelAsked) this.cancel(job);
+  }
+
+  unfinished(): string[] {
+    return [...this.jobs.values()].filter((j) => j.accepted && j.told === null).map((j) => j.spec.ref);
+  }
+}
