--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -131,7 +131,8 @@
 
   /** Over, and nothing of it can be anywhere: only then may it be moved to the final jobs. */
   get over(): boolean {
-    return this.cancelled ? this.attempts.size === 0 : this.allDone;
+    // A gang's last members may still hold place and quota when its result is known: they are waited for.
+    return this.attempts.size === 0 && (this.cancelled || this.allDone);
   }
 
   attach(attempt: Attempt): void {
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -426,7 +426,11 @@
   private done(r: Reign, job: Job, task: number): void {
     if (!job.markDone(task)) return;
     // A gang completes together: when one task is done, all of them are.
-    if (job.spec.kind === "gang") for (let t = 0; t < job.spec.tasks; t++) job.markDone(t);
+    if (job.spec.kind === "gang") {
+      for (let t = 0; t < job.spec.tasks; t++) job.markDone(t);
+      // A member that was started once more after its gang was done waits for nobody.
+      for (const a of [...job.attempts]) this.stopAttempt(r, a, 0);
+    }
     this.requestWrite(r, job.over ? 0 : LAZY_WRITE_MS);
   }
 
@@ -815,8 +819,6 @@
       const key = keys.chunk(job.id, c.index);
       if (c.version > 0 && !dropped.has(key)) r.garbage.set(key, c.version);
     }
-    // A finished gang or array may have stragglers that we still hold: they are stopped as nobody's.
-    for (const a of [...job.attempts]) this.gone(r, a);
     r.jobs.delete(job.id);
     r.prefer.delete(job.id);
   }
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import type { SimWorker } from "./standins/worker.js";
 import { World } from "./standins/world.js";
 
 type Trouble = (w: World) => void;
@@ -185,3 +186,54 @@
     assert.ok(w.started > 20, `tasks were started (${w.started})`);
   });
 }
+
+/**
+ * Days drawn from a seed: a handful of overlapping troubles each. Seed 139 freed the place of a gang's member
+ * while it still waited, after another member's kept result had finished the job (rule `quota`).
+ */
+for (const seed of [4, 61, 139, 230, 301, 302]) {
+  test(`a drawn day: seed ${seed}`, async () => {
+    const w = new World(seed);
+    const trouble: Trouble[] = [
+      (x) => x.crash(x.leader ?? "n0", x.random() < 0.5 ? 80 : 3000),
+      (x) => x.crash(`n${Math.floor(x.random() * 3)}`, 50 + x.random() * 3000),
+      (x) => x.state.outage(2000 + x.random() * 20_000),
+      (x) => x.state.refuse(node(x), 2000 + x.random() * 20_000),
+      (x) => cutLeader(x, (h) => h === "state:1"),
+      (x) => cutLeader(x, (h) => h.startsWith("10.")),
+      (x) => [0, 1, 2].forEach(() => anyWorker(x)?.hang(x.random() * 20_000)),
+      (x) => x.cloud.take(anyWorker(x)?.tuft.ref ?? ""),
+      (x) => x.cloud.outage(2000 + x.random() * 20_000),
+      (x) => {
+        const far = new Set(
+          [...x.workers.values()].filter((m) => m.tuft.patch === "b").map((m) => m.tuft.address),
+        );
+        x.net.cut(
+          (h) => far.has(h) || h === "n1:80",
+          (h) => !far.has(h) && h !== "n1:80",
+          2000 + x.random() * 20_000,
+        );
+      },
+    ];
+    w.net.repeatShare = 0.1;
+    await w.run(3);
+    for (let i = 0; i < 7; i++) {
+      const what = trouble[Math.floor(w.random() * trouble.length)]!;
+      w.clock.after(5000 + w.random() * 45_000, () => what(w));
+    }
+    await w.mixedWork(55);
+    await w.run(130);
+    assert.deepEqual(w.broken, []);
+    assert.deepEqual(w.unfinished(), []);
+  });
+}
+
+function cutLeader(w: World, from: (host: string) => boolean): void {
+  const l = node(w);
+  w.net.cut((h) => h === l, from, 2000 + w.random() * 20_000);
+}
+
+function anyWorker(w: World): SimWorker | undefined {
+  const all = [...w.workers.values()];
+  return all[Math.floor(w.random() * all.length)];
+}
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -100,7 +100,7 @@
 
   private beat(): void {
     if (!this.alive) return;
-    this.clock.after(100, () => this.beat());
+    this.clock.after(20, () => this.beat());
     // Its lease runs out while it hangs, too: it may go on only within its lease.
     this.checkLease();
     if (this.clock.nowMs() < this.hungUntilMs) return;
@@ -227,7 +227,13 @@
     if (seconds === null) return;
     this.clock.after(seconds * 1000, () =>
       this.whenAwake(() => {
-        if (this.current(key, task) && task.phase === "running") this.exit(key, "done");
+        if (!this.current(key, task) || task.phase !== "running") return;
+        // A gang completes together; one that has lost a member doesn't.
+        const jobId = task.spore.split("/")[0]!;
+        const size = this.events.gangSize(jobId);
+        const members = size === 1 ? [{ w: this as SimWorker, task }] : this.events.gang(jobId, task.sprout);
+        if (members.length < size) this.exit(key, "peers");
+        else for (const m of members) m.w.exit(`${m.task.spore}#${m.task.sprout}`, "done");
       }),
     );
   }
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -95,6 +95,7 @@
   readonly broken: string[] = [];
   readonly faultyMachines = new Set<string>();
   started = 0;
+  private closing = false;
   private readonly nodes = new Map<string, { controller: Controller; alive: boolean }>();
   private lives = 0;
   readonly random: () => number;
@@ -231,12 +232,14 @@
     };
     this.jobs.set(spec.ref, job);
     const attempt = (): void => {
+      const sentMs = this.clock.nowMs();
       this.ask("POST", "/v1/jobs", spec).then(
         (r) => {
           if (r.status === 201 || r.status === 200) {
             job.accepted = true;
-            this.hear(job, r);
+            this.hear(job, r, sentMs);
             this.poll(job);
+            if (this.closing && spec.form === "standing") this.cancel(job);
           } else if (r.status === 400 || r.status === 422) {
             if (job.accepted) this.broken.push(`forgotten ${spec.ref}: ${r.status}`);
           } else this.clock.after(1000, attempt);
@@ -251,9 +254,10 @@
   cancel(job: SimJob): void {
     job.cancelAsked = true;
     const attempt = (): void => {
+      const sentMs = this.clock.nowMs();
       this.ask("POST", `/v1/jobs/${job.spec.ref}/cancel`).then(
         (r) => {
-          if (r.status === 200) this.hear(job, r);
+          if (r.status === 200) this.hear(job, r, sentMs);
           else this.clock.after(1000, attempt);
         },
         () => this.clock.after(1000, attempt),
@@ -264,10 +268,11 @@
 
   private poll(job: SimJob): void {
     this.clock.after(2500, () => {
+      const sentMs = this.clock.nowMs();
       this.ask("GET", `/v1/jobs/${job.spec.ref}`).then(
         (r) => {
           if (r.status === 404) this.broken.push(`forgotten ${job.spec.ref}`);
-          if (r.status === 200) this.hear(job, r);
+          if (r.status === 200) this.hear(job, r, sentMs);
           this.poll(job);
         },
         () => this.poll(job),
@@ -275,8 +280,10 @@
     });
   }
 
-  private hear(job: SimJob, r: Reply): void {
+  private hear(job: SimJob, r: Reply, sentMs: number): void {
     const { phase } = r.body as { phase: string };
+    // Asked before it was told, and only come in after: no older answer than that.
+    if (sentMs < job.toldMs && job.told !== null && phase !== job.told) return;
     if (job.told !== null && phase !== job.told)
       this.broken.push(`went_back ${job.spec.ref}: ${job.told} ${phase}`);
     if (phase === "withdrawn" && !job.cancelAsked)
@@ -392,6 +399,7 @@
       }
       await this.run(0.5 + this.random() * 2.5);
     }
+    this.closing = true;
     for (const job of made)
       if (job.spec.form === "standing" && job.accepted && !job.cancelAsked) this.cancel(job);
   }
