--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -1,4 +1,4 @@
-import type { Report, ReportedTask, MachineType } from "../protocol/model.js";
+import type { JobSpec, MachineType, Report, ReportedTask } from "../protocol/model.js";
 import { encodeElsewhere, encodeResponse } from "../protocol/workers.js";
 import { decodeTypes, encodeTypes } from "../protocol/cloud.js";
 import { Job, type Attempt } from "../bookkeeping/jobs.js";
@@ -31,7 +31,7 @@
 import { squeeze, type LoadedTask, type Move } from "./magnet/squeeze.js";
 import { place, type PlacementPlan } from "./placement.js";
 import { serveOrder, withinGuarantee, type QueueEntry } from "./queue.js";
-import { allows, zoneRoom, type JobView, type MachineView, type VictimView } from "./views.js";
+import { allows, zoneRoom, type Claim, type JobView, type MachineView, type VictimView } from "./views.js";
 
 export type ConductorMessage =
   | { kind: "election"; news: ElectionNews }
@@ -107,6 +107,7 @@
   private types: MachineType[] = [];
   private typesKnown = false;
   private learner = new Learner();
+  private readonly gpuClasses = new Map<string, JobSpec>();
   private timer: Timer | null = null;
   private stopped = false;
 
@@ -1068,14 +1069,7 @@
     const refs: Attempt[] = [];
     const machines: MachineView[] = [];
     const coming: MachineView[] = [];
-    let cpusPerGpu = 0;
-    let memoryPerGpu = 0;
-    for (const job of r.jobs.values()) {
-      const { spec } = job;
-      if (spec.gpus <= 0) continue;
-      cpusPerGpu = Math.max(cpusPerGpu, spec.cpus / spec.gpus);
-      memoryPerGpu = Math.max(memoryPerGpu, spec.memoryGb / spec.gpus);
-    }
+    for (const job of r.jobs.values()) this.profile(job);
     for (const m of r.machines.values()) {
       if (!m.type || m.state === "leaving" || m.cordoned || m.takenAtMs !== null) continue;
       const view = this.view(r, m, m.type, guaranteed, refs, now);
@@ -1085,7 +1079,8 @@
     }
     for (const order of r.renting.values()) {
       const type = this.types.find((t) => t.name === order.type);
-      if (type) for (let i = 0; i < order.count; i++) coming.push(emptyView(type, order.zone, order.spot));
+      if (type)
+        for (let i = 0; i < order.count; i++) coming.push(this.emptyView(type, order.zone, order.spot));
     }
     const budget = new Map<string, { cpus: number; gpus: number }>();
     const plan = place({
@@ -1114,8 +1109,6 @@
           budget.set(spec.team, extra);
         },
       },
-      cpusPerGpu,
-      memoryPerGpu,
       maxEvictions: 40,
     });
     this.carryOut(r, plan, refs, now);
@@ -1165,7 +1158,8 @@
     refs: Attempt[],
     now: number,
   ): MachineView {
-    const view = emptyView(type, m.zone, m.spot);
+    const view = this.emptyView(type, m.zone, m.spot);
+    view.gpuBusy = [...m.attempts].some((a) => a.job.spec.gpus > 0);
     view.name = m.name;
     view.placeable = m.state === "up" && now - m.lastHeardMs < this.o.operator.suspectS * 1000;
     view.readyInS = m.state === "up" ? 0 : Math.max(1, type.bootS - (now - m.bornMs) / 1000);
@@ -1200,6 +1194,44 @@
     return view;
   }
 
+  /** Remembers what work with accelerators looks like, class by class. */
+  private profile(job: Job): void {
+    const { spec } = job;
+    if (spec.gpus <= 0 || this.gpuClasses.has(spec.className)) return;
+    this.gpuClasses.set(spec.className, spec);
+  }
+
+  private claimOn(type: MachineType, spot: boolean): Claim | null {
+    if (type.gpus <= 0) return null;
+    let claim: Claim | null = null;
+    for (const spec of this.gpuClasses.values()) {
+      if ((spec.types !== null && !spec.types.includes(type.name)) || (spot && !spec.spot)) continue;
+      claim ??= { cpus: 0, memoryGb: 0 };
+      claim.cpus = Math.max(claim.cpus, spec.cpus / spec.gpus);
+      claim.memoryGb = Math.max(claim.memoryGb, spec.memoryGb / spec.gpus);
+    }
+    return claim;
+  }
+
+  private emptyView(type: MachineType, zone: string, spot: boolean): MachineView {
+    return {
+      name: "",
+      type,
+      zone,
+      spot,
+      placeable: false,
+      readyInS: type.bootS,
+      free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
+      leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
+      images: new Set(),
+      fetching: new Set(),
+      backlogGb: 0,
+      victims: [],
+      claim: this.claimOn(type, spot),
+      gpuBusy: false,
+    };
+  }
+
   private carryOut(r: Reign, plan: PlacementPlan, refs: Attempt[], now: number): void {
     for (const p of plan.placements) {
       const job = r.jobs.get(p.jobId);
@@ -1256,6 +1288,7 @@
       coming,
       refused: (type, zone, spot) => (r.refusedUntilMs.get(`${type} ${zone} ${spot}`) ?? 0) > now,
       maxMachines: 40,
+      claim: (type, spot) => this.claimOn(type, spot),
     });
     for (const w of wishes) {
       // Made of the term and a counter, so no other node or life ever uses the name (the cloud would answer
@@ -1365,23 +1398,6 @@
   return { sinceMs: nowMs, graceS, sent: false, lastSentMs: -Infinity };
 }
 
-function emptyView(type: MachineType, zone: string, spot: boolean): MachineView {
-  return {
-    name: "",
-    type,
-    zone,
-    spot,
-    placeable: false,
-    readyInS: type.bootS,
-    free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
-    leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
-    images: new Set(),
-    fetching: new Set(),
-    backlogGb: 0,
-    victims: [],
-  };
-}
-
 /** Seconds of work that stopping the attempt throws away. */
 function lossOf(a: Attempt, nowMs: number): number {
   const { spec } = a.job;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,5 +1,5 @@
-import type { MachineType } from "../protocol/model.js";
-import type { JobView, MachineView } from "./views.js";
+import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { Claim, JobView, MachineView } from "./views.js";
 import { allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
 
 export interface RentWish {
@@ -17,8 +17,16 @@
   /** True while the cloud has lately had none of these. */
   refused: (type: string, zone: string, spot: boolean) => boolean;
   maxMachines: number;
+  /** What work with accelerators wants there; null: none of it may come. */
+  claim: (type: MachineType, spot: boolean) => Claim | null;
 }
 
+/**
+ * Room is not bought at more than this many times what the cheapest ordinary room costs: beyond it, waiting for
+ * what is there is the better bargain, however urgent the work.
+ */
+const DEAREST = 3;
+
 /**
  * What to rent for the work that found no place: first what is on its way is filled, in thought, and only
  * what is still left rents more, at the lowest price for each task that the machine would really hold. Pure.
@@ -40,22 +48,25 @@
     };
     for (const m of virtual) {
       if (left <= 0) break;
+      if (spec.gpus === 0 && m.claim) continue;
       if (allows(spec, m.type.name, m.zone, m.spot) && fits(spec, m.free)) put(m);
     }
+    const cheapest = ordinaryPrice(spec, input.types);
     while (left > 0 && machines < input.maxMachines) {
       let best: { type: MachineType; zone: string; spot: boolean; cost: number } | null = null;
       for (const type of input.types) {
         const whole = { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
         const holds = howMany(spec, whole);
         if (holds <= 0) continue;
-        if (spec.gpus === 0 && type.gpus > 0) continue;
         for (const zone of type.zones) {
           const room = zoneRoom(spec, zones, zone);
           if (room <= 0) continue;
           for (const spot of spec.spot ? [true, false] : [false]) {
             if (!allows(spec, type.name, zone, spot) || input.refused(type.name, zone, spot)) continue;
+            if (spec.gpus === 0 && type.gpus > 0 && input.claim(type, spot)) continue;
             const used = Math.min(holds, left, room);
             const price = spot ? type.spotPrice : type.price;
+            if (price / holds > cheapest * DEAREST) continue;
             const cost = (price / used) * (1 + type.bootS / 100);
             if (!best || cost < best.cost - 1e-9) best = { type, zone, spot, cost };
           }
@@ -81,6 +92,8 @@
         fetching: new Set(),
         backlogGb: 0,
         victims: [],
+        claim: input.claim(type, spot),
+        gpuBusy: false,
       };
       virtual.push(fresh);
       put(fresh);
@@ -88,3 +101,14 @@
   }
   return [...wishes.values()];
 }
+
+/** Lowest ordinary price of one task's room. */
+function ordinaryPrice(spec: JobSpec, types: MachineType[]): number {
+  let lowest = Infinity;
+  for (const t of types) {
+    const holds = howMany(spec, { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
+    if (holds > 0 && (spec.types === null || spec.types.includes(t.name)))
+      lowest = Math.min(lowest, t.price / holds);
+  }
+  return lowest;
+}
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -21,9 +21,6 @@
   jobs: JobView[];
   machines: MachineView[];
   quota: QuotaView;
-  /** Largest number of cpus that work with accelerators takes for each of them; keeps room beside them. */
-  cpusPerGpu: number;
-  memoryPerGpu: number;
   maxEvictions: number;
 }
 
@@ -49,14 +46,19 @@
   return c;
 }
 
-/** Tasks without accelerators leave enough beside free accelerators for the work that needs them. */
-function roomFor(spec: JobSpec, m: MachineView, input: PlacementInput): number {
+/**
+ * How many tasks the machine takes. Where work with accelerators may come, other tasks leave enough beside the
+ * free ones for it, come only while the machine is paid for anyway, and never stay for good: a service on such a
+ * machine would keep it rented at many times the price of its room.
+ */
+export function roomFor(spec: JobSpec, m: MachineView): number {
   const n = howMany(spec, m.free);
-  if (spec.gpus > 0 || m.type.gpus === 0 || m.free.gpus <= 0) return n;
+  if (spec.gpus > 0 || m.type.gpus === 0 || !m.claim) return n;
+  if (spec.kind === "service" || !m.gpuBusy) return 0;
   const spare = {
-    cpus: m.free.cpus - m.free.gpus * input.cpusPerGpu,
+    cpus: m.free.cpus - m.free.gpus * m.claim.cpus,
     gpus: 0,
-    memoryGb: m.free.memoryGb - m.free.gpus * input.memoryPerGpu,
+    memoryGb: m.free.memoryGb - m.free.gpus * m.claim.memoryGb,
   };
   return Math.min(n, howMany(spec, spare));
 }
@@ -123,7 +125,6 @@
         job,
         want,
         candidates.filter((m) => m.zone === zone),
-        input,
       );
       const n = (list: { tasks: number }[]): number => list.reduce((s, p) => s + p.tasks, 0);
       if (n(got) > n(best)) best = got;
@@ -138,14 +139,13 @@
     }
     return best;
   }
-  return fill(job, want, candidates, input);
+  return fill(job, want, candidates);
 }
 
 function fill(
   job: JobView,
   want: number,
   candidates: MachineView[],
-  input: PlacementInput,
 ): { machine: MachineView; tasks: number }[] {
   const { spec } = job;
   const out: { machine: MachineView; tasks: number }[] = [];
@@ -162,7 +162,7 @@
       }
     }
     if (!best) break;
-    const n = Math.min(missing, roomFor(spec, best, input), zoneRoom(spec, job.zones, best.zone));
+    const n = Math.min(missing, roomFor(spec, best), zoneRoom(spec, job.zones, best.zone));
     left.delete(best);
     if (n <= 0) continue;
     takeFrom(best.free, spec, n);
@@ -181,7 +181,11 @@
   const undo: (() => void)[] = [];
   let missing = want;
   const options = input.machines.filter(
-    (m) => m.placeable && allows(spec, m.type.name, m.zone, m.spot) && !job.avoid.has(m.name),
+    (m) =>
+      m.placeable &&
+      allows(spec, m.type.name, m.zone, m.spot) &&
+      !job.avoid.has(m.name) &&
+      (spec.gpus > 0 || m.type.gpus === 0 || !m.claim),
   );
   const tried = new Set<MachineView>();
   while (missing > 0) {
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -35,6 +35,16 @@
   fetching: Set<string>;
   backlogGb: number;
   victims: VictimView[];
+  /** What work with accelerators wants beside each of them here; null: none of it may come here. */
+  claim: Claim | null;
+  /** Such work runs here now, so that the machine is paid for anyway. */
+  gpuBusy: boolean;
+}
+
+/** The most that work with accelerators, as seen so far, takes for each of them. */
+export interface Claim {
+  cpus: number;
+  memoryGb: number;
 }
 
 export interface JobView {
