Serve as many jobs in time as fit: the largest steps back (Moore and Hodgson)

Cause: with more work than room, least-slack-first made nearly every array a little late, and those past their wish queued up oldest first. Ruled out: idle room (all rented and full).

--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -30,7 +30,7 @@
 import { release, type MeasuredMachine } from "./magnet/release.js";
 import { squeeze, type LoadedTask, type Move } from "./magnet/squeeze.js";
 import { place, type PlacementPlan } from "./placement.js";
-import { serveOrder, withinGuarantee, type QueueEntry } from "./queue.js";
+import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import { allows, zoneRoom, type Claim, type JobView, type MachineView, type VictimView } from "./views.js";
 
 export type ConductorMessage =
@@ -1065,7 +1065,7 @@
       entries.push(this.entry(job, guaranteed.has(job), now));
     }
     if (entries.length === 0) return;
-    entries.sort(serveOrder);
+    const entriesInOrder = serveOrder(entries, (priority) => this.roomFor(r, priority));
     const refs: Attempt[] = [];
     const machines: MachineView[] = [];
     const coming: MachineView[] = [];
@@ -1084,7 +1084,7 @@
     }
     const budget = new Map<string, { cpus: number; gpus: number }>();
     const plan = place({
-      jobs: entries.map((e) => this.jobView(r, e, now)),
+      jobs: entriesInOrder.map((e) => this.jobView(r, e, now)),
       machines,
       quota: {
         room: (spec) => {
@@ -1117,17 +1117,33 @@
 
   private entry(job: Job, guaranteed: boolean, now: number): QueueEntry {
     const { spec } = job;
-    const needS = this.learner.expectedS(spec.className, spec.estimateS);
-    const wish = spec.deadlineS ?? this.wishedS(spec.className);
-    const slackS = wish === null ? null : wish - (now - job.bornMs) / 1000 - needS;
-    return { job, guaranteed, slackS, needS };
+    const taskS = Math.max(1, this.learner.expectedS(spec.className, spec.estimateS));
+    const agoS = (now - job.bornMs) / 1000;
+    let runningS = 0;
+    for (const a of job.attempts) {
+      runningS += Math.max(1, taskS - (a.runningMs === null ? 0 : (now - a.runningMs) / 1000));
+    }
+    return {
+      job,
+      id: job.id,
+      priority: spec.priority,
+      guaranteed,
+      duesS: wishedS(spec.className, spec.deadlineS, this.o.platform.objectives).map((s) => s - agoS),
+      taskS,
+      work: spec.cpus * (job.pending * taskS + runningS),
+      since: job.acceptedAt.getTime(),
+    };
   }
 
-  private wishedS(className: string): number | null {
-    for (const o of this.o.platform.objectives) {
-      if (o.kind === "finished" && o.className === className && o.withinS !== null) return o.withinS;
+  /** Cpus that work of this priority can count on: everything but what higher work and accelerators take. */
+  private roomFor(r: Reign, priority: number): number {
+    let cpus = 0;
+    for (const m of r.machines.values()) {
+      if (!m.type || m.state !== "up" || m.cordoned || this.claimOn(m.type, m.spot)) continue;
+      cpus += m.type.cpus;
+      for (const a of m.attempts) if (a.job.spec.priority > priority) cpus -= a.job.spec.cpus;
     }
-    return null;
+    return cpus;
   }
 
   private jobView(r: Reign, e: QueueEntry, now: number): JobView {
@@ -1145,7 +1161,6 @@
       guaranteed: e.guaranteed,
       zones,
       avoid,
-      slackS: e.slackS,
       prefer: prefer && prefer.untilMs > now ? prefer.machine : null,
     };
   }
--- a/src/coordination/queue.ts
+++ b/src/coordination/queue.ts
@@ -1,5 +1,5 @@
 import type { Job } from "../bookkeeping/jobs.js";
-import type { Team } from "../settings/platform.js";
+import type { Objective, Team } from "../settings/platform.js";
 
 /**
  * Which jobs fall within their team's guarantee: a job does if it fits into it along with the team's earlier
@@ -31,25 +31,92 @@
 
 export interface QueueEntry {
   job: Job;
+  id: string;
+  priority: number;
   guaranteed: boolean;
-  /** Seconds left until the job has to be complete, less the seconds that it still needs; null: no wish. */
-  slackS: number | null;
-  /** Seconds it still needs once everything runs. */
-  needS: number;
+  /** Seconds from now at which it should be complete, the nearest wish first; later wishes are looser. */
+  duesS: number[];
+  /** Seconds that a single task of it still takes. */
+  taskS: number;
+  /** What is left to do, in cpu seconds. */
+  work: number;
+  /** When it was accepted, for what nothing else decides. */
+  since: number;
+}
+
+/** Seconds from submission at which a job should be complete, by its own deadline or its class's objectives. */
+export function wishedS(className: string, deadlineS: number | null, objectives: Objective[]): number[] {
+  const wishes = new Set<number>();
+  if (deadlineS !== null) wishes.add(deadlineS);
+  for (const o of objectives) {
+    if (o.className !== className) continue;
+    if (o.kind === "deadline" && deadlineS !== null) wishes.add(deadlineS * o.times);
+    if (o.kind === "finished" && o.withinS !== null) wishes.add(o.withinS);
+  }
+  return [...wishes].sort((a, b) => a - b);
 }
 
 /**
- * The order in which jobs are served: priority, then guaranteed work, then those that can still be in time,
- * the least slack first; what is late already comes after them, oldest first. Pure.
+ * The order in which jobs are served: priority, then guaranteed work, then as many jobs as can be in time.
+ * `cpus` is the room that each priority has for what it is offered.
+ *
+ * With less room than work, "least time left first" makes everybody a little late. So the jobs are taken by due
+ * time, and whenever they don't fit, the largest of them steps back (Moore and Hodgson): it costs one job its
+ * wish, and the others keep theirs. Those that stepped back are tried again at their next, looser wish; what can't
+ * meet any comes last, the smallest first. Pure.
  */
-export function serveOrder(a: QueueEntry, b: QueueEntry): number {
-  const rank = b.job.spec.priority - a.job.spec.priority;
-  if (rank !== 0) return rank;
-  if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
-  const lateA = a.slackS !== null && a.slackS < 0 ? 1 : 0;
-  const lateB = b.slackS !== null && b.slackS < 0 ? 1 : 0;
-  if (lateA !== lateB) return lateA - lateB;
-  if (a.slackS !== null && b.slackS !== null && lateA === 0 && a.slackS !== b.slackS)
-    return a.slackS - b.slackS;
-  return a.job.acceptedAt.getTime() - b.job.acceptedAt.getTime() || (a.job.id < b.job.id ? -1 : 1);
+export function serveOrder(entries: QueueEntry[], cpus: (priority: number) => number): QueueEntry[] {
+  const out: QueueEntry[] = [];
+  const ranks = [...new Set(entries.map((e) => e.priority))].sort((a, b) => b - a);
+  for (const rank of ranks) {
+    const room = Math.max(1, cpus(rank));
+    let busyS = 0;
+    for (const guaranteed of [true, false]) {
+      let left = entries.filter((e) => e.priority === rank && e.guaranteed === guaranteed);
+      const levels = Math.max(0, ...left.map((e) => e.duesS.length));
+      for (let level = 0; level < levels; level++) {
+        const { kept, dropped, endS } = inTime(left, level, room, busyS);
+        out.push(...kept);
+        left = dropped;
+        busyS = endS;
+      }
+      left.sort((a, b) => bySize(a, b));
+      out.push(...left);
+    }
+  }
+  return out;
+}
+
+function bySize(a: QueueEntry, b: QueueEntry): number {
+  // Without wishes there is nothing to be in time for: first come, first served.
+  if (a.duesS.length === 0 && b.duesS.length === 0) return a.since - b.since || (a.id < b.id ? -1 : 1);
+  return a.work - b.work || a.since - b.since || (a.id < b.id ? -1 : 1);
+}
+
+function inTime(
+  entries: QueueEntry[],
+  level: number,
+  room: number,
+  startS: number,
+): { kept: QueueEntry[]; dropped: QueueEntry[]; endS: number } {
+  const kept: QueueEntry[] = [];
+  const dropped: QueueEntry[] = [];
+  const due = (e: QueueEntry): number => e.duesS[level] ?? -Infinity;
+  const sorted = [...entries].sort((a, b) => due(a) - due(b) || a.since - b.since || (a.id < b.id ? -1 : 1));
+  let endS = startS;
+  for (const e of sorted) {
+    if (e.taskS > due(e)) {
+      dropped.push(e);
+      continue;
+    }
+    kept.push(e);
+    endS += e.work / room;
+    if (Math.max(endS, e.taskS) <= due(e)) continue;
+    let largest = 0;
+    for (let i = 1; i < kept.length; i++) if (kept[i]!.work > kept[largest]!.work) largest = i;
+    const [out] = kept.splice(largest, 1);
+    dropped.push(out!);
+    endS -= out!.work / room;
+  }
+  return { kept, dropped, endS };
 }
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -56,8 +56,6 @@
   /** Tasks that may be somewhere, by zone. */
   zones: Map<string, number>;
   avoid: Set<string>;
-  /** Seconds until it should be complete; null: no such wish. */
-  slackS: number | null;
   /** Where a move wants it; null: anywhere. */
   prefer: string | null;
 }
--- /dev/null
+++ b/test/queue.test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { serveOrder, wishedS, type QueueEntry } from "../src/coordination/queue.js";
+import type { Job } from "../src/bookkeeping/jobs.js";
+
+let since = 0;
+function entry(id: string, work: number, duesS: number[], extra: Partial<QueueEntry> = {}): QueueEntry {
+  return {
+    job: {} as Job,
+    id,
+    priority: 1,
+    guaranteed: false,
+    duesS,
+    taskS: 1,
+    work,
+    since: since++,
+    ...extra,
+  };
+}
+
+test("the order of service", () => {
+  const cases: { name: string; entries: QueueEntry[]; want: string }[] = [
+    {
+      name: "priority first, then the guaranteed",
+      entries: [
+        entry("low", 1, [], { priority: 0 }),
+        entry("mid", 1, []),
+        entry("sure", 1, [], { guaranteed: true }),
+        entry("top", 1, [], { priority: 3 }),
+      ],
+      want: "top sure mid low",
+    },
+    { name: "without wishes, as they came", entries: [entry("a", 90, []), entry("b", 10, [])], want: "a b" },
+    {
+      name: "when all fit, the nearest due first",
+      entries: [entry("late", 100, [90]), entry("soon", 100, [30])],
+      want: "soon late",
+    },
+    {
+      // Least time left first would make all three late.
+      name: "when they don't fit, the largest steps back and the others are in time",
+      entries: [entry("huge", 400, [45]), entry("a", 200, [50]), entry("b", 200, [50])],
+      want: "a b huge",
+    },
+    {
+      name: "who stepped back is tried at its looser wish before what is past all wishes",
+      entries: [entry("over", 10, [-5, -1]), entry("huge", 400, [30, 100]), entry("a", 200, [30, 60])],
+      want: "a huge over",
+    },
+    {
+      name: "a task longer than the time left can't be in time",
+      entries: [entry("long", 10, [20], { taskS: 25 }), entry("a", 10, [90])],
+      want: "a long",
+    },
+    {
+      name: "past all wishes, the smallest first",
+      entries: [entry("big", 50, [-9]), entry("small", 5, [-3])],
+      want: "small big",
+    },
+  ];
+  for (const c of cases) {
+    const got = serveOrder(c.entries, () => 10);
+    assert.equal(got.map((e) => e.id).join(" "), c.want, c.name);
+  }
+});
+
+test("wishes come from the job's own deadline and its class's objectives", () => {
+  const o = (kind: string, className: string | null, withinS: number | null, times = 1) => ({
+    kind,
+    className,
+    withinS,
+    share: 0.9,
+    times,
+  });
+  const objectives = [
+    o("deadline", "a", null, 1),
+    o("deadline", "a", null, 1.5),
+    o("finished", "b", 200),
+    o("wait", "b", 5),
+    o("finished", "b", 300),
+  ];
+  assert.deepEqual(wishedS("a", 40, objectives), [40, 60]);
+  assert.deepEqual(wishedS("a", null, objectives), []);
+  assert.deepEqual(wishedS("b", null, objectives), [200, 300]);
+  assert.deepEqual(wishedS("c", 10, objectives), [10]);
+});
