--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -75,6 +75,8 @@
   nextRequest: number;
   renting: Map<string, RentOrder>;
   refusedUntilMs: Map<string, number>;
+  /** Refusals in a row, by type, zone and kind. */
+  refusals: Map<string, number>;
   writing: boolean;
   writeSet: boolean;
   passSet: boolean;
@@ -100,6 +102,9 @@
 const LAZY_WRITE_MS = 400;
 const WATCH_MS = 20_000;
 const ERROR_MACHINE = 3;
+/** What the cloud refused is asked for again after this, then after twice as long, and so on. */
+const FIRST_REFUSED_MS = 8000;
+const MAX_REFUSED_MS = 40_000;
 
 export class Conductor extends Actor<ConductorMessage> {
   private reign: Reign | null = null;
@@ -206,6 +211,7 @@
       nextRequest: 0,
       renting: new Map(),
       refusedUntilMs: new Map(),
+      refusals: new Map(),
       writing: false,
       writeSet: false,
       passSet: false,
@@ -568,6 +574,11 @@
     if (phase === "running" && a.runningMs === null) {
       a.runningMs = now;
       a.job.firstStartMs ??= now;
+      log.debug(
+        () =>
+          `${a.job.id}/${a.task} (${a.job.spec.className}) runs on ${a.machine.name}, ` +
+          `${((now - a.job.bornMs) / 1000).toFixed(2)} s after its submission, ${((now - a.plannedMs) / 1000).toFixed(2)} s after its plan`,
+      );
     }
     a.phase = phase;
     if (a.job.cancelled && !a.stop) this.stopAttempt(r, a, 0);
@@ -907,6 +918,7 @@
           m.spot = news.order.spot;
           m.type ??= this.types.find((t) => t.name === news.order.type) ?? null;
         }
+        if (news.names.length > 0) this.available(r, news.order.type, news.order.zone, news.order.spot);
         if (news.names.length < news.order.count) this.refused(r, news.order, now);
         this.requestPass(r);
         break;
@@ -920,6 +932,7 @@
           r.removed.add(name);
           const m = r.machines.get(name);
           if (!m) continue;
+          if (m.type) this.available(r, m.type.name, m.zone, m.spot);
           // The cloud's 200 to a deletion: the machine and everything on it is gone.
           for (const a of [...m.attempts]) this.lost(r, a);
           r.machines.delete(name);
@@ -944,9 +957,18 @@
     }
   }
 
+  /** One was granted, or has just been given back: asking makes sense again. */
+  private available(r: Reign, type: string, zone: string, spot: boolean): void {
+    const key = `${type} ${zone} ${spot}`;
+    r.refusals.delete(key);
+    r.refusedUntilMs.delete(key);
+  }
+
   private refused(r: Reign, order: RentOrder, now: number): void {
     const key = `${order.type} ${order.zone} ${order.spot}`;
-    r.refusedUntilMs.set(key, now + 12_000);
+    const before = r.refusals.get(key) ?? 0;
+    r.refusals.set(key, before + 1);
+    r.refusedUntilMs.set(key, now + Math.min(MAX_REFUSED_MS, FIRST_REFUSED_MS * 2 ** before));
   }
 
   private remove(r: Reign, m: Machine, reason: string): void {
@@ -1161,10 +1183,20 @@
       guaranteed: e.guaranteed,
       zones,
       avoid,
+      quickS: this.quickS(e.job, now),
       prefer: prefer && prefer.untilMs > now ? prefer.machine : null,
     };
   }
 
+  private quickS(job: Job, now: number): number | null {
+    for (const o of this.o.platform.objectives) {
+      if (o.kind !== "wait" || o.className !== job.spec.className || o.withinS === null) continue;
+      const leftS = o.withinS - (now - job.bornMs) / 1000;
+      return leftS > 0 ? leftS : null;
+    }
+    return null;
+  }
+
   private view(
     r: Reign,
     m: Machine,
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -81,25 +81,40 @@
       if (job.pending < spec.tasks || want < spec.tasks) continue;
       want = spec.tasks;
     }
-    const chosen = choose(job, want, input);
-    const placed = chosen.reduce((sum, p) => sum + p.tasks, 0);
+    // Room where its image lies, even if lesser work has to make it, comes before waiting for a fetch elsewhere.
+    const quick = job.quickS;
+    const chosen = quick === null ? [] : choose(job, want, input, quick);
+    let placed = sum(chosen);
+    if (quick !== null && placed < want && spec.kind !== "gang") {
+      const made = makeRoom(job, want - placed, input, plan, quick);
+      want -= made;
+    }
+    if (placed < want) chosen.push(...choose(job, want - placed, input, Infinity));
+    placed = sum(chosen);
     if (spec.kind === "gang" && placed < want) {
       // All of it or nothing.
       for (const p of chosen) {
         takeFrom(p.machine.free, spec, -p.tasks);
         count(job, p.machine.zone, -p.tasks);
       }
-      if (!makeRoom(job, want, input, plan)) plan.unplaced.push({ job, tasks: want });
+      const made = makeRoom(job, want, input, plan, Infinity);
+      if (made < want) plan.unplaced.push({ job, tasks: want - made });
       continue;
     }
     for (const p of chosen) plan.placements.push({ jobId: spec.id, machine: p.machine.name, tasks: p.tasks });
     input.quota.take(spec, placed);
     const missing = want - placed;
-    if (missing > 0 && !makeRoom(job, missing, input, plan)) plan.unplaced.push({ job, tasks: missing });
+    if (missing <= 0) continue;
+    const made = makeRoom(job, missing, input, plan, Infinity);
+    if (made < missing) plan.unplaced.push({ job, tasks: missing - made });
   }
   return plan;
 }
 
+function sum(list: { tasks: number }[]): number {
+  return list.reduce((total, p) => total + p.tasks, 0);
+}
+
 function count(job: JobView, zone: string, tasks: number): void {
   job.zones.set(zone, (job.zones.get(zone) ?? 0) + tasks);
 }
@@ -108,6 +123,7 @@
   job: JobView,
   want: number,
   input: PlacementInput,
+  withinS: number,
 ): { machine: MachineView; tasks: number }[] {
   const { spec } = job;
   const candidates = input.machines.filter(
@@ -115,7 +131,8 @@
       m.placeable &&
       allows(spec, m.type.name, m.zone, m.spot) &&
       !job.avoid.has(m.name) &&
-      fits(spec, m.free),
+      fits(spec, m.free) &&
+      fetchDelayS(spec, m) <= withinS,
   );
   if (spec.oneZone && want > 1) {
     // The zone that holds most of it, the quickest of those.
@@ -126,8 +143,7 @@
         want,
         candidates.filter((m) => m.zone === zone),
       );
-      const n = (list: { tasks: number }[]): number => list.reduce((s, p) => s + p.tasks, 0);
-      if (n(got) > n(best)) best = got;
+      if (sum(got) > sum(best)) best = got;
       for (const p of got) {
         takeFrom(p.machine.free, spec, -p.tasks);
         count(job, p.machine.zone, -p.tasks);
@@ -173,8 +189,14 @@
   return out;
 }
 
-/** Tries to find room for all `want` tasks by stopping others; false when some of them stay without. */
-function makeRoom(job: JobView, want: number, input: PlacementInput, plan: PlacementPlan): boolean {
+/** Tries to find room for `want` tasks by stopping others; returns for how many it will be there. */
+function makeRoom(
+  job: JobView,
+  want: number,
+  input: PlacementInput,
+  plan: PlacementPlan,
+  withinS: number,
+): number {
   const { spec } = job;
   const zones = new Map(job.zones);
   const picked: { m: MachineView; victims: VictimView[]; tasks: number }[] = [];
@@ -185,7 +207,8 @@
       m.placeable &&
       allows(spec, m.type.name, m.zone, m.spot) &&
       !job.avoid.has(m.name) &&
-      (spec.gpus > 0 || m.type.gpus === 0 || !m.claim),
+      (spec.gpus > 0 || m.type.gpus === 0 || !m.claim) &&
+      fetchDelayS(spec, m) <= withinS,
   );
   const tried = new Set<MachineView>();
   while (missing > 0) {
@@ -237,10 +260,10 @@
       p.m.victims.push(...p.victims);
       for (const v of p.victims) addTo(p.m.leaving, { cpus: -v.cpus, gpus: -v.gpus, memoryGb: -v.memoryGb });
     }
-    return false;
+    return 0;
   }
   for (const p of picked) for (const v of p.victims) plan.evictions.push({ ref: v.ref, jobId: spec.id });
   input.quota.take(spec, picked.length);
-  if (missing > 0 && picked.length > 0) plan.unplaced.push({ job, tasks: missing });
-  return missing === 0 || picked.length > 0;
+  for (const p of picked) count(job, p.m.zone, 1);
+  return picked.length;
 }
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -56,6 +56,8 @@
   /** Tasks that may be somewhere, by zone. */
   zones: Map<string, number>;
   avoid: Set<string>;
+  /** Seconds that its tasks may still wait for a start without missing their class's wish; null: no wish left. */
+  quickS: number | null;
   /** Where a move wants it; null: anywhere. */
   prefer: string | null;
 }
