--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -102,6 +102,7 @@
   }
 
   private later(why: string): Answer {
+    log.debug(() => `told a user to come back: ${why}`);
     return { status: 503, body: { error: why }, headers: RETRY_AFTER };
   }
 
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -105,6 +105,8 @@
 /** What the cloud refused is asked for again after this, then after twice as long, and so on. */
 const FIRST_REFUSED_MS = 8000;
 const MAX_REFUSED_MS = 40_000;
+/** Rentals under way at the same time. */
+const MAX_ORDERS = 3;
 
 export class Conductor extends Actor<ConductorMessage> {
   private reign: Reign | null = null;
@@ -1215,6 +1217,9 @@
     view.free.memoryGb -= m.used.memoryGb;
     for (const image of m.images.keys()) if (m.hasImage(image)) view.images.add(image);
     for (const image of m.fetching.keys()) view.fetching.add(image);
+    for (const a of m.attempts) {
+      if (m.fetching.has(a.job.spec.image)) view.fetchRank = Math.max(view.fetchRank, a.job.spec.priority);
+    }
     view.backlogGb = m.fetchBacklogGb();
     for (const a of m.attempts) {
       const { spec } = a.job;
@@ -1273,6 +1278,7 @@
       images: new Set(),
       fetching: new Set(),
       backlogGb: 0,
+      fetchRank: -1,
       victims: [],
       claim: this.claimOn(type, spot),
       gpuBusy: false,
@@ -1338,6 +1344,11 @@
       claim: (type, spot) => this.claimOn(type, spot),
     });
     for (const w of wishes) {
+      // The cloud answers a few calls a second: one question at a time about each kind of machine, few under way,
+      // so that what the most important work needs is never behind a queue of stale questions.
+      if (r.renting.size >= MAX_ORDERS) break;
+      if ([...r.renting.values()].some((o) => o.type === w.type && o.zone === w.zone && o.spot === w.spot))
+        continue;
       // Made of the term and a counter, so no other node or life ever uses the name (the cloud would answer
       // it with the machines of the first use).
       const order: RentOrder = {
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -91,6 +91,7 @@
         images: new Set(),
         fetching: new Set(),
         backlogGb: 0,
+        fetchRank: -1,
         victims: [],
         claim: input.claim(type, spot),
         gpuBusy: false,
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -132,6 +132,8 @@
       allows(spec, m.type.name, m.zone, m.spot) &&
       !job.avoid.has(m.name) &&
       fits(spec, m.free) &&
+      // Fetches share the line: lesser work begins none of its own while greater work waits for its image.
+      (m.fetchRank <= spec.priority || m.images.has(spec.image) || m.fetching.has(spec.image)) &&
       fetchDelayS(spec, m) <= withinS,
   );
   if (spec.oneZone && want > 1) {
@@ -182,6 +184,12 @@
     left.delete(best);
     if (n <= 0) continue;
     takeFrom(best.free, spec, n);
+    if (!best.images.has(spec.image)) {
+      // Later tasks of this plan see the fetch that this one begins.
+      if (!best.fetching.has(spec.image)) best.backlogGb += spec.imageGb;
+      best.fetching.add(spec.image);
+      best.fetchRank = Math.max(best.fetchRank, spec.priority);
+    }
     count(job, best.zone, n);
     out.push({ machine: best, tasks: n });
     missing -= n;
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -34,6 +34,8 @@
   /** Images on their way: a task can wait for one of them without a fetch of its own. */
   fetching: Set<string>;
   backlogGb: number;
+  /** Highest priority that waits for a fetch there; -1: none. */
+  fetchRank: number;
   victims: VictimView[];
   /** What work with accelerators wants beside each of them here; null: none of it may come here. */
   claim: Claim | null;
