Keep silent machines past their lease; place services near controllers

Cause: a machine silent for 9 s was given back though its tasks count as running until its lease is over and it mostly returns; and zones without controllers go silent whole when cut.

--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -111,6 +111,7 @@
 export class Conductor extends Actor<ConductorMessage> {
   private reign: Reign | null = null;
   private leader: string | null = null;
+  private readonly controllerZones: Set<string>;
   private types: MachineType[] = [];
   private typesKnown = false;
   private learner = new Learner();
@@ -120,6 +121,7 @@
 
   constructor(private readonly o: ConductorOptions) {
     super();
+    this.controllerZones = new Set([o.platform.zone, ...o.platform.peers.map((p) => p.zone)]);
   }
 
   start(): void {
@@ -1017,7 +1019,9 @@
 
   private superviseAll(r: Reign, now: number): void {
     const { operator, platform } = this.o;
-    const silentAfter = operator.abandonS * 1000;
+    // Until its lease is over, its tasks count as running and may come back; after that their place is free without
+    // giving the machine back, and most silent machines do come back.
+    const silentAfter = Math.max(operator.abandonS, platform.leaseS + 2) * 1000;
     // When most of a zone is silent at once, its machines are probably well and only we can't hear them:
     // their leases prove their tasks gone, and giving all of them back would leave nothing to come back to.
     const zones = new Map<string, { up: number; silent: number }>();
@@ -1221,6 +1225,7 @@
       if (m.fetching.has(a.job.spec.image)) view.fetchRank = Math.max(view.fetchRank, a.job.spec.priority);
     }
     view.backlogGb = m.fetchBacklogGb();
+    view.withControllers = this.controllerZones.has(m.zone);
     for (const a of m.attempts) {
       const { spec } = a.job;
       if (a.stop) {
@@ -1279,6 +1284,7 @@
       fetching: new Set(),
       backlogGb: 0,
       fetchRank: -1,
+      withControllers: true,
       victims: [],
       claim: this.claimOn(type, spot),
       gpuBusy: false,
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -92,6 +92,7 @@
         fetching: new Set(),
         backlogGb: 0,
         fetchRank: -1,
+        withControllers: true,
         victims: [],
         claim: input.claim(type, spot),
         gpuBusy: false,
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -40,6 +40,8 @@
   // Cheap machines for whoever may use them: the others are left to those who may not.
   if (spec.spot && !m.spot) c += 4;
   if (spec.gpus === 0 && m.type.gpus > 0) c += 8;
+  // A zone without controllers is silent when it is cut off, and its leases run out.
+  if (spec.kind === "service" && !m.withControllers) c += 3;
   // Fuller machines first, so that whole machines stay empty and can be given back.
   const load = 1 - m.free.cpus / Math.max(m.type.cpus, 1e-6);
   c += (1 - load) * 2;
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -34,6 +34,8 @@
   /** Images on their way: a task can wait for one of them without a fetch of its own. */
   fetching: Set<string>;
   backlogGb: number;
+  /** A controller stands in its zone, so that a cut between zones doesn't silence it. */
+  withControllers: boolean;
   /** Highest priority that waits for a fetch there; -1: none. */
   fetchRank: number;
   victims: VictimView[];
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -28,8 +28,8 @@
   elapseS: 5,
   moveCap: 4,
   idleKeepS: 45,
-  suspectS: 6,
-  abandonS: 9,
+  suspectS: 5,
+  abandonS: 30,
   warmShare: 0.1,
 };
 
