--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -1036,8 +1036,16 @@
       if (m.state === "leaving") continue;
       if (m.state === "booting") {
         const boot = m.type?.bootS ?? 60;
-        // Known only from a record: its worker finds us soon, or it is given back, which proves what was on it gone.
-        const limit = m.attempts.size > 0 ? platform.leaseS + 2 : boot * 3 + 30;
+        // Known only from a record, and silent since this term began: its lease proves the tasks gone, also those
+        // whose start is still on its way, for that names a session that is over. The machine may yet come back.
+        if (
+          m.attempts.size > 0 &&
+          now >= leaseOverMs(Math.max(m.lastAckMs, r.mandate.othersSilentFromMs), platform.leaseS)
+        ) {
+          log.info(`${m.name}: not heard of in this term, its lease is over`);
+          for (const a of [...m.attempts]) this.lost(r, a);
+        }
+        const limit = m.attempts.size > 0 ? platform.leaseS * 2 + 10 : boot * 3 + 30;
         if (now - m.bornMs > limit * 1000) this.remove(r, m, "never came up");
         continue;
       }
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -27,7 +27,7 @@
   violate: 0.89,
   elapseS: 5,
   moveCap: 4,
-  idleKeepS: 45,
+  idleKeepS: 25,
   suspectS: 5,
   abandonS: 30,
   warmShare: 0.1,
