--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -29,6 +29,7 @@
 import { loadOf } from "./magnet/rings.js";
 import { release, type MeasuredMachine } from "./magnet/release.js";
 import { squeeze, type LoadedTask, type Move } from "./magnet/squeeze.js";
+import { isIsolated } from "./strays.js";
 import { place, type PlacementPlan } from "./placement.js";
 import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import { allows, zoneRoom, type Claim, type JobView, type MachineView, type VictimView } from "./views.js";
@@ -707,18 +708,16 @@
     const r = this.reign;
     if (!r) return;
     const now = this.o.clock.nowMs();
-    if (now - r.startedMs < 8000) return;
     let up = 0;
     let heard = 0;
     for (const m of r.machines.values()) {
       if (m.state !== "up") continue;
       up++;
-      if (now - m.lastHeardMs < 1000 * this.o.platform.reportS * 2) heard++;
-    }
-    if (machines > 0 && heard * 2 < up && heard < machines) {
-      log.info(`${machines} machines reach others but not us`);
-      this.o.onIsolated(r.mandate.term);
+      if (now - m.lastHeardMs < 1000 * this.o.platform.reportS * 2.2) heard++;
     }
+    if (!isIsolated({ astray: machines, up, heard, leadingMs: now - r.startedMs })) return;
+    log.info(`${machines} machines reach others, ${heard} of ${up} reach this node`);
+    this.o.onIsolated(r.mandate.term);
   }
 
   // ---------------------------------------------------------------- writing
--- a/src/coordination/strays.ts
+++ b/src/coordination/strays.ts
@@ -1,11 +1,12 @@
 import type { Clock } from "../transport/clock.js";
 
 /**
- * Machines that keep coming to a node that doesn't lead: it sends them to the leader, and they come back,
- * because the leader does not hear them. Told to the leader, who can't notice by itself.
+ * Machines that come to a node that doesn't lead, and are sent on to the leader. A few always do, after a boot or a
+ * change of leader. When the leader hears nearly nobody meanwhile, it is the one that is cut off, and can't tell by
+ * itself; so it is told how many came here lately, and judges.
  */
 export class Strays {
-  private readonly sent = new Map<string, number[]>();
+  private readonly sent = new Map<string, number>();
   private lastToldMs = -Infinity;
 
   constructor(
@@ -16,18 +17,23 @@
 
   seen(machine: string, leader: string): void {
     const now = this.clock.nowMs();
-    const windowMs = 14_000;
-    const times = (this.sent.get(machine) ?? []).filter((t) => now - t < windowMs);
-    times.push(now);
-    this.sent.set(machine, times);
-    if (now - this.lastToldMs < 1000 * Math.max(1, this.reportS / 2)) return;
-    let returning = 0;
-    for (const [name, list] of this.sent) {
-      if (now - list.at(-1)! > windowMs) this.sent.delete(name);
-      else if (list.length >= 2 && list.at(-1)! - list[0]! > 3000) returning++;
-    }
-    if (returning === 0) return;
+    const windowMs = Math.max(5000, this.reportS * 3000);
+    this.sent.set(machine, now);
+    if (now - this.lastToldMs < 700) return;
+    for (const [name, at] of this.sent) if (now - at > windowMs) this.sent.delete(name);
     this.lastToldMs = now;
-    this.tell(leader, returning);
+    this.tell(leader, this.sent.size);
   }
 }
+
+/** Is the leader the one that is cut off? Pure. */
+export function isIsolated(facts: { astray: number; up: number; heard: number; leadingMs: number }): boolean {
+  // A new leader is found within seconds; judge only then.
+  return (
+    facts.leadingMs > 6000 &&
+    facts.astray > 0 &&
+    facts.up > 0 &&
+    facts.heard * 4 < facts.up &&
+    facts.heard < facts.astray
+  );
+}
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -18,8 +18,6 @@
   suspectS: number;
   /** Silence after which a machine is given back to the cloud. */
   abandonS: number;
-  /** Share of the running services' room that is kept free for new ones, cheap work aside. */
-  warmShare: number;
 }
 
 export const operatorDefaults: Operator = {
@@ -30,7 +28,6 @@
   idleKeepS: 25,
   suspectS: 5,
   abandonS: 30,
-  warmShare: 0.1,
 };
 
 const RANGES: Record<keyof Operator, [number, number]> = {
@@ -41,7 +38,6 @@
   idleKeepS: [0, 100_000],
   suspectS: [0.5, 100_000],
   abandonS: [1, 100_000],
-  warmShare: [0, 10],
 };
 
 /**
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -74,3 +74,16 @@
   assert.deepEqual(view, { termVersion: 11, term: 4, hold: { term: 4, node: "n1", life: "x", lease: 9 } });
   assert.deepEqual(readLead([]), { termVersion: 0, term: 0, hold: null });
 });
+
+test("isolation: only a leader that hears nearly nobody, while others do", () => {
+  const base = { astray: 1, up: 20, heard: 0, leadingMs: 20_000 };
+  const cases: [string, Partial<typeof base>, boolean][] = [
+    ["nobody reaches it, one machine reached a peer", {}, true],
+    ["most reach it, and some boot", { astray: 3, heard: 18 }, false],
+    ["nobody reaches anybody", { astray: 0 }, false],
+    ["just elected: the workers are still looking", { leadingMs: 3000 }, false],
+    ["a zone is cut off, which others hear no better", { astray: 1, heard: 8 }, false],
+    ["few are left, and they reach it", { astray: 1, up: 2, heard: 2 }, false],
+  ];
+  for (const [name, change, want] of cases) assert.equal(isIsolated({ ...base, ...change }), want, name);
+});
