Begin a term early when the leader's host refuses links; seek workers after it

Cause: a crashed leader's hold kept starts waiting for 3 s, and workers needed up to 3 s more to find its successor. A refused link only raises suspicion: guards, tokens and times bound the old leader as before.

--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -101,6 +101,8 @@
 const TICK_MS = 250;
 const PASS_DELAY_MS = 3;
 const LAZY_WRITE_MS = 400;
+/** So long after its election a leader looks for machines that have not found it. */
+const SEEK_MS = 15_000;
 const WATCH_MS = 20_000;
 const ERROR_MACHINE = 3;
 /** What the cloud refused is asked for again after this, then after twice as long, and so on. */
@@ -679,6 +681,17 @@
     });
   }
 
+  /**
+   * A new leader asks the workers for reports instead of waiting until they have found it. No session has number 0, so
+   * nothing is carried out, and the refusal brings the report. The lease is not renewed by that, nor counted as if.
+   */
+  private seek(r: Reign, m: Machine): void {
+    if (r.errands.has(m.name) || m.address === "") return;
+    r.errands.add(m.name);
+    const errand = { machine: m.name, address: m.address, token: m.token, session: 0, commands: [] };
+    this.o.courier.tell({ kind: "send", errand });
+  }
+
   private errandBack(result: ErrandResult): void {
     const r = this.reign;
     const m = r?.machines.get(result.errand.machine);
@@ -953,6 +966,8 @@
           }
           m.type ??= this.types.find((t) => t.name === l.type) ?? null;
           if (m.zone === "") m.zone = l.zone;
+          if (m.address === "") m.address = l.address;
+          if (m.state === "booting" && l.phase === "running" && now - r.startedMs < SEEK_MS) this.seek(r, m);
           if (m.state === "booting") m.spot = l.spot;
           if (l.phase === "failed") this.remove(r, m, "failed");
         }
--- a/src/coordination/election.ts
+++ b/src/coordination/election.ts
@@ -62,7 +62,8 @@
   | { kind: "renewed"; term: number; outcome: "ok" | "ended" | "failed"; sentMs: number }
   | { kind: "peer"; message: PeerMessage }
   | { kind: "deposed"; term: number }
-  | { kind: "isolated"; term: number };
+  | { kind: "isolated"; term: number }
+  | { kind: "refused"; peer: string };
 
 /** How long a vouching counts, from when it was asked for. */
 export const VOUCH_MS = 2000;
@@ -129,6 +130,8 @@
   private timer: Timer | null = null;
   private stopped = false;
   private standBackUntilMs = -Infinity;
+  /** The leader, when its host refuses connections. */
+  private suspect: string | null = null;
 
   constructor(private readonly o: ElectionOptions) {
     super();
@@ -167,6 +170,14 @@
       case "deposed":
         if (this.mine && this.mine.term === message.term) this.resign("a later term has begun");
         break;
+      case "refused":
+        // Only a suspicion (a node without free sockets refuses, too), so nothing is concluded from it but that a new
+        // term may begin early: what the old leader may still do is as bounded as ever, by guards, tokens and times.
+        if (message.peer === this.leader && !this.mine) {
+          this.suspect = message.peer;
+          this.again(0);
+        }
+        break;
       case "isolated":
         if (this.mine && this.mine.term === message.term) {
           this.standBackUntilMs = this.o.clock.nowMs() + STAND_BACK_MS;
@@ -207,6 +218,12 @@
     this.everRead = true;
     this.knownTerm = Math.max(this.knownTerm, view.term);
     this.setLeader(view.hold ? view.hold.node : null);
+    const { suspect } = this;
+    this.suspect = null;
+    if (view.hold && suspect !== null && view.hold.node === suspect) {
+      this.endHold(view.hold, `${suspect} refuses connections`);
+      return;
+    }
     if (!view.hold) {
       if (this.o.clock.nowMs() < this.standBackUntilMs) this.again(this.o.probeMs);
       else this.campaign(view);
@@ -214,18 +231,21 @@
     }
     if (view.hold.node === this.o.node && view.hold.life !== this.o.life) {
       // Our own forerunner's hold: that process is certainly over, so nobody need wait for its lease.
-      const lease = view.hold.lease;
-      this.busy = true;
-      log.info(`term ${view.hold.term} was this node's former process's: ending its hold`);
-      void this.o.state.endLease(lease, this.o.clock.nowMs() + 1000).then(() => {
-        this.busy = false;
-        this.tell({ kind: "probe" });
-      });
+      this.endHold(view.hold, "it was this node's former process's");
       return;
     }
     this.again(this.o.probeMs);
   }
 
+  private endHold(hold: Hold, reason: string): void {
+    this.busy = true;
+    log.info(`ending the hold of term ${hold.term}: ${reason}`);
+    void this.o.state.endLease(hold.lease, this.o.clock.nowMs() + 1000).then(() => {
+      this.busy = false;
+      this.tell({ kind: "probe" });
+    });
+  }
+
   private campaign(view: LeadView): void {
     if (this.campaigning) return;
     this.campaigning = true;
--- a/src/service.ts
+++ b/src/service.ts
@@ -154,6 +154,10 @@
     else this.elector.tell({ kind: "peer", message });
   }
 
+  onPeerRefused(peer: string): void {
+    this.elector.tell({ kind: "refused", peer });
+  }
+
   /** Ready when requests can be decided here. In an outage that hits everybody, turning users away helps nobody. */
   ready(): boolean {
     if (!this.typesKnown) return false;
@@ -227,6 +231,7 @@
     peers: platform.peers,
     clock,
     onFrame: (frame) => controller?.onPeer(frame),
+    onRefused: (peer) => controller?.onPeerRefused(peer),
     onError,
   });
   controller = new Controller(platform, operator, {
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -43,6 +43,8 @@
   clock: Clock;
   /** Frames carry their sender's name inside; the link itself vouches for nothing. */
   onFrame: (payload: Buffer) => void;
+  /** A link that stood has closed, and the peer's host refuses a new one: its process is probably over. */
+  onRefused: (peer: string) => void;
   onError: (error: Error) => void;
 }
 
@@ -83,8 +85,9 @@
     this.server?.close();
   }
 
-  private dial(peer: { name: string; address: string }): void {
+  private dial(peer: { name: string; address: string }, afterLoss = false): void {
     if (this.closed) return;
+    let stood = false;
     const socket = net.connect(splitAddress(peer.address));
     socket.setNoDelay(true);
     // A connection attempt through a cut hangs without an error: give it up and try anew.
@@ -93,15 +96,18 @@
     });
     socket.on("connect", () => {
       socket.setTimeout(0);
+      stood = true;
       this.out.set(peer.name, socket);
     });
     socket.on("data", () => undefined);
-    socket.on("error", () => undefined);
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      if (afterLoss && error.code === "ECONNREFUSED") this.options.onRefused(peer.name);
+    });
     socket.on("close", () => {
       if (this.out.get(peer.name) === socket) this.out.delete(peer.name);
-      const timer = this.options.clock.after(400, () => {
+      const timer = this.options.clock.after(stood ? 30 : 400, () => {
         this.retries.delete(timer);
-        this.dial(peer);
+        this.dial(peer, stood);
       });
       this.retries.add(timer);
     });
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -31,6 +31,14 @@
       [18, crashLeader(90)],
     ],
   },
+  {
+    name: "a leader that lives refuses connections",
+    repeat: 0.05,
+    at: [
+      [15, (w) => w.refuse(w.leader ?? "n0")],
+      [22, (w) => w.refuse(w.leader ?? "n0")],
+    ],
+  },
   { name: "all controllers crash", at: [[20, (w) => ["n0", "n1", "n2"].forEach((n) => w.crash(n, 3000))]] },
   {
     name: "rolling restart",
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -187,9 +187,20 @@
     node.alive = false;
     node.controller.stop();
     this.net.gone(`${name}:80`);
+    this.refuse(name);
     this.clock.after(backMs, () => this.boot(NODES.indexOf(name)));
   }
 
+  /** The others see connections to it refused, rightly or not. */
+  refuse(name: string): void {
+    for (const [other, node] of this.nodes) {
+      if (other === name) continue;
+      this.net.carry(`${name}:80`, `${other}:80`, () => {
+        if (node.alive) node.controller.onPeerRefused(name);
+      });
+    }
+  }
+
   async run(seconds: number): Promise<void> {
     await this.clock.advance(seconds * 1000);
   }
