Judge faulty machines by jobs that run elsewhere; keep what runs there; true ages

Cause: on mrws rough a faulty machine took 26 s to find, its healthy replicas were stopped, and a machine that never boots looked new to each leader.

--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -29,6 +29,7 @@
   /** No new work; used when it is faulty or about to be given back. */
   cordoned = false;
   cordonReason = "";
+  cordonUntilMs = Infinity;
   idleSinceMs: number | null;
   readonly attempts = new Set<Attempt>();
   reported: ReportedTask[] = [];
@@ -47,7 +48,7 @@
     public zone: string,
     public spot: boolean,
     firstToken: number,
-    readonly bornMs: number,
+    public bornMs: number,
   ) {
     this.token = firstToken;
     this.lastHeardMs = bornMs;
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -104,7 +104,8 @@
 /** So long after its election a leader looks for machines that have not found it. */
 const SEEK_MS = 15_000;
 const WATCH_MS = 20_000;
-const ERROR_MACHINE = 3;
+/** A faulty machine that still holds work is tried again after this. */
+const FAULTY_MS = 90_000;
 /** What the cloud refused is asked for again after this, then after twice as long, and so on. */
 const FIRST_REFUSED_MS = 8000;
 const MAX_REFUSED_MS = 40_000;
@@ -627,13 +628,16 @@
     if (job.spec.kind === "gang") this.breakGang(r, job);
   }
 
-  /** A machine on which several jobs fail, and nothing succeeds, is faulty. */
+  /**
+   * A machine on which jobs fail that run well elsewhere, or several jobs and nothing succeeds, is faulty. It gets no
+   * new work; what runs there already goes on, for such a machine fails only what it starts.
+   */
   private judge(r: Reign, m: Machine): void {
-    let total = 0;
-    for (const n of m.failures.values()) total += n;
-    if (m.failures.size < 2 || total < ERROR_MACHINE || m.cordoned) return;
+    if (m.cordoned || !looksFaulty(m, r.jobs)) return;
     this.cordon(m, "fails what it starts");
-    for (const a of [...m.attempts]) this.stopOrderly(r, a);
+    m.cordonUntilMs = this.o.clock.nowMs() + FAULTY_MS;
+    m.failures.clear();
+    for (const a of [...m.attempts]) if (a.phase === null || a.phase === "fetching") this.stopOrderly(r, a);
   }
 
   private cordon(m: Machine, reason: string): void {
@@ -962,6 +966,8 @@
           const m = known ?? this.machine(r, l.name, l.zone);
           if (!known) {
             m.spot = l.spot;
+            // Its age is the cloud's to tell: one that never comes up must not look young to each new leader.
+            m.bornMs = now - l.ageS * 1000;
             log.info(`${l.name}: found in the cloud's list (${l.type} ${l.zone}, ${l.phase})`);
           }
           m.type ??= this.types.find((t) => t.name === l.type) ?? null;
@@ -1048,6 +1054,7 @@
     }
     for (const m of [...r.machines.values()]) {
       if (m.state === "leaving") continue;
+      if (m.cordoned && now > m.cordonUntilMs) m.cordoned = false;
       if (m.state === "booting") {
         const boot = m.type?.bootS ?? 60;
         // Known only from a record, and silent since this term began: its lease proves the tasks gone, also those
@@ -1059,8 +1066,9 @@
           log.info(`${m.name}: not heard of in this term, its lease is over`);
           for (const a of [...m.attempts]) this.lost(r, a);
         }
+        const sinceMs = m.attempts.size > 0 ? Math.max(m.bornMs, r.startedMs) : m.bornMs;
         const limit = m.attempts.size > 0 ? platform.leaseS * 2 + 10 : boot * 3 + 30;
-        if (now - m.bornMs > limit * 1000) this.remove(r, m, "never came up");
+        if (now - sinceMs > limit * 1000 && now - r.startedMs > 5000) this.remove(r, m, "never came up");
         continue;
       }
       const silence = now - m.lastHeardMs;
@@ -1493,6 +1501,21 @@
   return spec.checkpointS > 0 ? spec.saveS + 2 : ranS;
 }
 
+/** Failures of jobs that run well elsewhere count double. Pure. */
+export function looksFaulty(m: Machine, jobs: Map<string, Job>): boolean {
+  let score = 0;
+  let proven = 0;
+  for (const [id, n] of m.failures) {
+    const job = jobs.get(id);
+    const well =
+      job !== undefined &&
+      (job.doneCount > 0 || [...job.attempts].some((a) => a.machine !== m && a.phase === "running"));
+    score += well ? 2 * n : n;
+    if (well) proven++;
+  }
+  return score >= 3 && (proven > 0 || m.failures.size >= 2);
+}
+
 /** A task that ran had its image. */
 function machineImage(m: Machine, job: Job, t: ReportedTask): void {
   if (t.cause === "done" || t.cause === "error") m.imageReady(job.spec.image);
