--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -502,6 +502,13 @@
     m.spot = report.spot;
     m.type = this.types.find((t) => t.name === report.type) ?? m.type;
     m.reported = report.tasks;
+    if (
+      m.attempts.size === 0 &&
+      (m.state === "booting" || now - m.lastHeardMs > this.o.operator.suspectS * 1000)
+    ) {
+      // Its idle time begins when it can be used (again): neither its boot nor its silence counts.
+      m.idleSinceMs = now;
+    }
     if (m.state === "booting") {
       m.state = "up";
       log.info(
@@ -704,12 +711,12 @@
     // An errand of an earlier term of ours may come back late: its token tells.
     if (result.errand.token < firstToken(r.mandate.term)) return;
     if (result.report && r.loaded) {
-      m.lastHeardMs = this.o.clock.nowMs();
       if (result.report.token >= firstToken(r.mandate.term + 1)) {
         this.o.onDeposed(r.mandate.term);
         return;
       }
       const fresh = this.absorb(r, m, result.report);
+      m.lastHeardMs = this.o.clock.nowMs();
       if (fresh) this.digest(r, m);
       if (result.status === 409 && fresh) {
         // Refused whole: the starts in it were not carried out, so they may go again at once.
@@ -1091,7 +1098,11 @@
       }
       if (m.attempts.size === 0 && m.idleSinceMs !== null) {
         if (m.cordoned) this.remove(r, m, m.cordonReason);
-        else if (now - m.idleSinceMs > operator.idleKeepS * 1000 && now - m.bornMs > 58_000)
+        else if (
+          silence < operator.suspectS * 1000 &&
+          now - m.idleSinceMs > operator.idleKeepS * 1000 &&
+          now - m.bornMs > 58_000
+        )
           this.remove(r, m, "idle");
         continue;
       }
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { isIsolated } from "../src/coordination/strays.js";
 import { isMajority, mayVouch, readLead } from "../src/coordination/election.js";
 import {
   absenceProves,
--- /dev/null
+++ b/test/silence.test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { World } from "./standins/world.js";
+
+/**
+ * Machines behind a cut are there when it ends. Their tasks' leases end, which leaves them empty in the leader's eyes;
+ * that once counted as idle, and all of them were given back a moment before the cut was over.
+ */
+test("a zone that is cut off for longer than a lease keeps its machines", async () => {
+  const w = new World(77);
+  await w.run(3);
+  for (let i = 0; i < 8; i++) {
+    const ref = `job-00000${i}`;
+    const crew = i % 2 ? "one" : "two";
+    w.submit(
+      { ref, crew, form: "standing", rank: "prod", spores: 2, cores: 2, windfall: false, scatter: true },
+      null,
+    );
+  }
+  await w.run(25);
+  const far = [...w.workers.values()].filter((x) => x.tuft.patch === "b").map((x) => x.tuft);
+  assert.ok(far.length >= 3, `machines in the zone: ${far.length}`);
+  // Whatever boots there meanwhile is behind the cut, too.
+  const inZone = (h: string): boolean =>
+    [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+  w.net.cut(inZone, (h) => !inZone(h), 38_000);
+  await w.run(37);
+  for (const t of far) assert.ok(w.cloud.tufts.has(t.ref), `${t.ref} was given back behind the cut`);
+  await w.run(20);
+  assert.deepEqual(w.broken, []);
+  for (let i = 0; i < 8; i++) assert.equal(w.live(`job-00000${i}`).length, 2, "both replicas run again");
+});
