Place on dear machines last, so that they empty and are given back

Cause: a gang went to the large accelerator machine beside another one while a small one stood idle, for being fuller.

--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -42,6 +42,8 @@
   if (spec.gpus === 0 && m.type.gpus > 0) c += 8;
   // A zone without controllers is silent when it is cut off, and its leases run out.
   if (spec.kind === "service" && !m.withControllers) c += 3;
+  // Dear machines last, so that they are the ones that empty and are given back.
+  c += Math.min(6, (m.spot ? m.type.spotPrice : m.type.price) / 5);
   // Fuller machines first, so that whole machines stay empty and can be given back.
   const load = 1 - m.free.cpus / Math.max(m.type.cpus, 1e-6);
   c += (1 - load) * 2;
