--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -30,3 +30,18 @@
   assert.deepEqual(w.broken, []);
   for (let i = 0; i < 8; i++) assert.equal(w.live(`job-00000${i}`).length, 2, "both replicas run again");
 });
+
+test("an outage of the state service, longer than the workers' leases, costs no running task", async () => {
+  const w = new World(78);
+  await w.run(3);
+  const fields = { form: "standing", rank: "prod", spores: 2, windfall: false, scatter: true };
+  w.submit({ ref: "job-000001", ...fields }, null);
+  await w.run(20);
+  const before = w.live("job-000001").map((x) => `${x.w.tuft.ref} ${x.task.sprout} ${x.task.phase}`);
+  assert.equal(before.length, 2);
+  w.state.outage(20_000);
+  await w.run(30);
+  const after = w.live("job-000001").map((x) => `${x.w.tuft.ref} ${x.task.sprout} ${x.task.phase}`);
+  assert.deepEqual(after, before);
+  assert.deepEqual(w.broken, []);
+});
