Read through: one empty view, one computation of a team's room, dead fields out

emptyView stood in conductor and fleet; the conductor's quota repeated Usage.room; several fields and a method were never read.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -58,11 +58,6 @@
   errors = 0;
   /** Machines on which it failed, and until when they are avoided. */
   readonly avoid = new Map<string, number>();
-  /** Longest seen run of a finished task, for estimates. */
-  finishing = false;
-  firstStartMs: number | null = null;
-  /** Progress known to be kept, for jobs with checkpoints. */
-  savedS = 0;
 
   constructor(
     readonly spec: JobSpec,
@@ -174,10 +169,6 @@
     return null;
   }
 
-  putBack(task: number): void {
-    this.again.push(task);
-  }
-
   /** Takes over what the state service holds of a chunk. */
   load(index: number, record: ChunkRecord, version: number): void {
     const chunk = this.chunkOf(index * CHUNK);
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -40,7 +40,6 @@
   readonly used: Amount = { cpus: 0, gpus: 0, memoryGb: 0 };
   /** Failed starts in a row, by job. */
   failures = new Map<string, number>();
-  successes = 0;
 
   constructor(
     readonly name: string,
--- a/src/bookkeeping/usage.ts
+++ b/src/bookkeeping/usage.ts
@@ -27,11 +27,12 @@
     used.gpus += spec.gpus * tasks;
   }
 
-  /** How many more tasks of this kind the team's limit allows. */
-  room(spec: JobSpec): number {
+  /** How many more tasks of this kind the team's limit allows, with what a plan takes already. */
+  room(spec: JobSpec, planned = { cpus: 0, gpus: 0 }): number {
     const team = this.teams.get(spec.team);
     if (!team) return 0;
-    const used = this.of(spec.team);
+    const held = this.of(spec.team);
+    const used = { cpus: held.cpus + planned.cpus, gpus: held.gpus + planned.gpus };
     const cpus = spec.cpus > 0 ? Math.floor((team.cpusMax - used.cpus + SLACK) / spec.cpus) : Infinity;
     const gpus = spec.gpus > 0 ? Math.floor((team.gpusMax - used.gpus + SLACK) / spec.gpus) : Infinity;
     return Math.max(0, Math.min(cpus, gpus));
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -32,7 +32,15 @@
 import { isIsolated } from "./strays.js";
 import { place, type PlacementPlan } from "./placement.js";
 import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
-import { allows, zoneRoom, type Claim, type JobView, type MachineView, type VictimView } from "./views.js";
+import {
+  allows,
+  emptyView,
+  zoneRoom,
+  type Claim,
+  type JobView,
+  type MachineView,
+  type VictimView,
+} from "./views.js";
 
 export type ConductorMessage =
   | { kind: "election"; news: ElectionNews }
@@ -91,7 +99,6 @@
   lastTypesMs: number;
   lastTallyMs: number;
   startedMs: number;
-  squeezeAsked: boolean;
   errands: Set<string>;
   waiting: Set<string>;
   rereading: Set<string>;
@@ -233,7 +240,6 @@
       lastTypesMs: this.typesKnown ? now : -Infinity,
       lastTallyMs: -Infinity,
       startedMs: now,
-      squeezeAsked: false,
       errands: new Set(),
       waiting: new Set(),
       rereading: new Set(),
@@ -588,7 +594,6 @@
       a.machine.imageReady(a.job.spec.image);
     if (phase === "running" && a.runningMs === null) {
       a.runningMs = now;
-      a.job.firstStartMs ??= now;
       log.debug(
         () =>
           `${a.job.id}/${a.task} (${a.job.spec.className}) runs on ${a.machine.name}, ` +
@@ -608,7 +613,6 @@
     switch (t.cause) {
       case "done":
         m.failures.clear();
-        m.successes++;
         if (ranS > 0) this.learner.ran(job.spec.className, ranS, job.spec.estimateS);
         this.done(r, job, a.task);
         return;
@@ -1149,28 +1153,15 @@
     for (const order of r.renting.values()) {
       const type = this.types.find((t) => t.name === order.type);
       if (type)
-        for (let i = 0; i < order.count; i++) coming.push(this.emptyView(type, order.zone, order.spot));
+        for (let i = 0; i < order.count; i++)
+          coming.push(emptyView(type, order.zone, order.spot, this.claimOn(type, order.spot)));
     }
     const budget = new Map<string, { cpus: number; gpus: number }>();
     const plan = place({
       jobs: entriesInOrder.map((e) => this.jobView(r, e, now)),
       machines,
       quota: {
-        room: (spec) => {
-          const extra = budget.get(spec.team) ?? { cpus: 0, gpus: 0 };
-          const team = r.usage.teams.get(spec.team);
-          if (!team) return 0;
-          const used = r.usage.of(spec.team);
-          const n = (max: number, have: number, need: number): number =>
-            need > 0 ? Math.floor((max - have + 1e-6) / need) : Infinity;
-          return Math.max(
-            0,
-            Math.min(
-              n(team.cpusMax, used.cpus + extra.cpus, spec.cpus),
-              n(team.gpusMax, used.gpus + extra.gpus, spec.gpus),
-            ),
-          );
-        },
+        room: (spec) => r.usage.room(spec, budget.get(spec.team)),
         take: (spec, tasks) => {
           const extra = budget.get(spec.team) ?? { cpus: 0, gpus: 0 };
           extra.cpus += spec.cpus * tasks;
@@ -1252,11 +1243,10 @@
     refs: Attempt[],
     now: number,
   ): MachineView {
-    const view = this.emptyView(type, m.zone, m.spot);
+    const view = emptyView(type, m.zone, m.spot, this.claimOn(type, m.spot));
     view.gpuBusy = [...m.attempts].some((a) => a.job.spec.gpus > 0);
     view.name = m.name;
     view.placeable = m.state === "up" && now - m.lastHeardMs < this.o.operator.suspectS * 1000;
-    view.readyInS = m.state === "up" ? 0 : Math.max(1, type.bootS - (now - m.bornMs) / 1000);
     view.free.cpus -= m.used.cpus;
     view.free.gpus -= m.used.gpus;
     view.free.memoryGb -= m.used.memoryGb;
@@ -1311,27 +1301,6 @@
     return claim;
   }
 
-  private emptyView(type: MachineType, zone: string, spot: boolean): MachineView {
-    return {
-      name: "",
-      type,
-      zone,
-      spot,
-      placeable: false,
-      readyInS: type.bootS,
-      free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
-      leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
-      images: new Set(),
-      fetching: new Set(),
-      backlogGb: 0,
-      fetchRank: -1,
-      withControllers: true,
-      victims: [],
-      claim: this.claimOn(type, spot),
-      gpuBusy: false,
-    };
-  }
-
   private carryOut(r: Reign, plan: PlacementPlan, refs: Attempt[], now: number): void {
     for (const p of plan.placements) {
       const job = r.jobs.get(p.jobId);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,6 +1,6 @@
 import type { JobSpec, MachineType } from "../protocol/model.js";
 import type { Claim, JobView, MachineView } from "./views.js";
-import { allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
+import { allows, emptyView, fits, howMany, takeFrom, zoneRoom } from "./views.js";
 
 export interface RentWish {
   type: string;
@@ -79,24 +79,7 @@
       wish.count++;
       wishes.set(key, wish);
       machines++;
-      const fresh: MachineView = {
-        name: "",
-        type,
-        zone,
-        spot,
-        placeable: false,
-        readyInS: type.bootS,
-        free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
-        leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
-        images: new Set(),
-        fetching: new Set(),
-        backlogGb: 0,
-        fetchRank: -1,
-        withControllers: true,
-        victims: [],
-        claim: input.claim(type, spot),
-        gpuBusy: false,
-      };
+      const fresh = emptyView(type, zone, spot, input.claim(type, spot));
       virtual.push(fresh);
       put(fresh);
     }
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -25,8 +25,6 @@
   spot: boolean;
   /** Up and to be trusted with new work; others are only looked at as what will be there. */
   placeable: boolean;
-  /** Expected seconds until it can take work; 0 when it is up. */
-  readyInS: number;
   free: Amount;
   /** What tasks that are being stopped will leave. */
   leaving: Amount;
@@ -51,6 +49,27 @@
   memoryGb: number;
 }
 
+/** A machine with nothing on it, as it will be when it is up. */
+export function emptyView(type: MachineType, zone: string, spot: boolean, claim: Claim | null): MachineView {
+  return {
+    name: "",
+    type,
+    zone,
+    spot,
+    placeable: false,
+    free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
+    leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
+    images: new Set(),
+    fetching: new Set(),
+    backlogGb: 0,
+    fetchRank: -1,
+    withControllers: true,
+    victims: [],
+    claim,
+    gpuBusy: false,
+  };
+}
+
 export interface JobView {
   spec: JobSpec;
   /** Tasks without result or attempt. */
