Split the conductor by what each part owns; no behaviour changed

Reign holds a term's parts: archive (records), attempts, supervisor (machines), placer, renter, magnet rounds. Lore is what outlives a term.

--- /dev/null
+++ b/src/coordination/lore.ts
@@ -0,0 +1,47 @@
+import type { Job } from "../bookkeeping/jobs.js";
+import type { JobSpec, MachineType } from "../protocol/model.js";
+import { Learner } from "./learning.js";
+import type { Claim } from "./views.js";
+
+/** What a controller knows whatever the term: machine types, and what the days have taught. */
+export class Lore {
+  types: MachineType[] = [];
+  typesKnown = false;
+  readonly learner = new Learner();
+  private readonly gpuClasses = new Map<string, JobSpec>();
+
+  constructor(readonly controllerZones: Set<string>) {}
+
+  typeNamed(name: string): MachineType | null {
+    return this.types.find((t) => t.name === name) ?? null;
+  }
+
+  /** True when more than prices is new. */
+  setTypes(types: MachineType[]): boolean {
+    const shape = (list: MachineType[]): string =>
+      JSON.stringify(list.map((t) => ({ ...t, price: 0, spotPrice: 0 })));
+    const changed = !this.typesKnown || shape(types) !== shape(this.types);
+    this.types = types;
+    this.typesKnown = true;
+    return changed;
+  }
+
+  /** Remembers what work with accelerators looks like, class by class. */
+  profile(job: Job): void {
+    const { spec } = job;
+    if (spec.gpus <= 0 || this.gpuClasses.has(spec.className)) return;
+    this.gpuClasses.set(spec.className, spec);
+  }
+
+  claimOn(type: MachineType, spot: boolean): Claim | null {
+    if (type.gpus <= 0) return null;
+    let claim: Claim | null = null;
+    for (const spec of this.gpuClasses.values()) {
+      if ((spec.types !== null && !spec.types.includes(type.name)) || (spot && !spec.spot)) continue;
+      claim ??= { cpus: 0, memoryGb: 0 };
+      claim.cpus = Math.max(claim.cpus, spec.cpus / spec.gpus);
+      claim.memoryGb = Math.max(claim.memoryGb, spec.memoryGb / spec.gpus);
+    }
+    return claim;
+  }
+}
--- /dev/null
+++ b/src/coordination/reign.ts
@@ -0,0 +1,101 @@
+import type { Job } from "../bookkeeping/jobs.js";
+import { Machine } from "../bookkeeping/machines.js";
+import { Usage } from "../bookkeeping/usage.js";
+import { Archive, LAZY_WRITE_MS } from "./archive.js";
+import { Attempts } from "./attempts.js";
+import type { ConductorOptions } from "./conductor.js";
+import type { Mandate } from "./election.js";
+import { firstAttempt, firstToken } from "./fences.js";
+import type { Lore } from "./lore.js";
+import { Rounds } from "./magnet/rounds.js";
+import { Placer } from "./placer.js";
+import { Renter } from "./renter.js";
+import { Supervisor } from "./supervisor.js";
+
+/** Everything that one term's leader knows, by the part that owns it. Thrown away whole with the term. */
+export class Reign {
+  loaded = false;
+  over = false;
+  readonly jobs = new Map<string, Job>();
+  readonly machines = new Map<string, Machine>();
+  readonly removed = new Set<string>();
+  readonly usage: Usage;
+  nextAttempt: number;
+  private lastListMs = -Infinity;
+  private lastTypesMs: number;
+  private lastTallyMs = -Infinity;
+  readonly startedMs: number;
+  readonly attempts: Attempts;
+  readonly archive: Archive;
+  readonly supervisor: Supervisor;
+  readonly fleet: Renter;
+  readonly placer: Placer;
+  readonly rounds: Rounds;
+
+  constructor(
+    public mandate: Mandate,
+    readonly o: ConductorOptions,
+    private readonly lore: Lore,
+  ) {
+    this.startedMs = o.clock.nowMs();
+    this.usage = new Usage(o.platform.teams);
+    this.nextAttempt = firstAttempt(mandate.term);
+    this.lastTypesMs = lore.typesKnown ? this.startedMs : -Infinity;
+    this.attempts = new Attempts(this);
+    this.archive = new Archive(this, o, lore);
+    this.supervisor = new Supervisor(this, o, lore);
+    this.fleet = new Renter(this, o, lore);
+    this.placer = new Placer(this, o, lore);
+    this.rounds = new Rounds(this, o);
+  }
+
+  full(): boolean {
+    return this.o.clock.nowMs() < this.mandate.fullUntilMs;
+  }
+
+  machine(name: string, zone: string): Machine {
+    let m = this.machines.get(name);
+    if (!m) {
+      m = new Machine(name, null, zone, false, firstToken(this.mandate.term), this.o.clock.nowMs());
+      this.machines.set(name, m);
+    }
+    return m;
+  }
+
+  typesChanged(changedByCloud: boolean, fromCloud: boolean): void {
+    for (const m of this.machines.values()) if (m.type) m.type = this.lore.typeNamed(m.type.name) ?? m.type;
+    if (changedByCloud || (fromCloud && this.archive.typesVersion === 0)) {
+      this.archive.typesDirty = true;
+      this.archive.requestWrite(0);
+    }
+  }
+
+  tick(now: number): void {
+    const { platform, operator, cloud } = this.o;
+    if (now - this.lastTypesMs > (this.lore.typesKnown ? 60_000 : 2000)) {
+      this.lastTypesMs = now;
+      cloud.tell({ kind: "types" });
+    }
+    if (!this.loaded) return;
+    if (now - this.lastListMs > Math.max(4000, platform.listLagS * 1000)) {
+      this.lastListMs = now;
+      cloud.tell({ kind: "list" });
+    }
+    if (now - this.lastTallyMs > 1000) {
+      this.lastTallyMs = now;
+      this.tally();
+    }
+    if (!this.full()) return;
+    this.supervisor.superviseAll(now);
+    if (now - this.rounds.lastRoundMs > operator.elapseS * 1000) this.rounds.round(now);
+    this.placer.requestPass();
+    if (this.archive.garbage.size > 0) this.archive.requestWrite(LAZY_WRITE_MS);
+  }
+
+  private tally(): void {
+    const jobs = [];
+    for (const job of this.jobs.values())
+      jobs.push({ id: job.id, done: job.doneCount, running: job.runningCount() });
+    this.o.onTally(this.mandate.term, jobs.slice(0, 2000));
+  }
+}
--- /dev/null
+++ b/src/coordination/supervisor.ts
@@ -0,0 +1,390 @@
+import type { Report, ReportedTask } from "../protocol/model.js";
+import { encodeResponse } from "../protocol/workers.js";
+import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import type { Machine } from "../bookkeeping/machines.js";
+import type { Answer } from "../transport/httpServer.js";
+import { log } from "../transport/log.js";
+import { writeLetter } from "./commands.js";
+import type { ConductorOptions } from "./conductor.js";
+import type { ErrandResult } from "./courier.js";
+import { absenceProves, firstToken, leaseOverMs } from "./fences.js";
+import type { Lore } from "./lore.js";
+import type { Reign } from "./reign.js";
+import { isIsolated } from "./strays.js";
+
+/** A faulty machine that still holds work is tried again after this. */
+const FAULTY_MS = 90_000;
+
+/** Owns what is known of the machines: hears their reports, draws the conclusions, sends them their commands. */
+export class Supervisor {
+  private readonly errands = new Set<string>();
+  private readonly waiting = new Set<string>();
+
+  constructor(
+    private readonly r: Reign,
+    private readonly o: ConductorOptions,
+    private readonly lore: Lore,
+  ) {}
+
+  /** A report that we may acknowledge. */
+  reported(report: Report, reply: (answer: Answer) => void): void {
+    const { r } = this;
+    const now = this.o.clock.nowMs();
+    if (report.token >= firstToken(r.mandate.term + 1)) {
+      // A later leader has spoken to it: a 200 from us would be dropped and hold the worker here.
+      reply({ status: 503, body: {} });
+      this.o.onDeposed(r.mandate.term);
+      return;
+    }
+    if (r.removed.has(report.machine)) {
+      reply({ status: 503, body: {} });
+      return;
+    }
+    const m = r.machine(report.machine, report.zone);
+    const fresh = this.absorb(m, report);
+    m.lastAckMs = now;
+    m.lastHeardMs = now;
+    if (!r.loaded) {
+      // Keep its lease; what it has to do is known once the records are read.
+      reply({ status: 200, body: encodeResponse(m.token, []) });
+      return;
+    }
+    const raise = fresh ? this.digest(m) : false;
+    const letter = writeLetter(m, r.jobs, now, { starts: r.full() && fresh, raise, direct: false });
+    reply({ status: 200, body: encodeResponse(letter.token, letter.commands) });
+    if (m.noticeNew) {
+      m.noticeNew = false;
+      this.drainTaken(m);
+    }
+  }
+
+  /** Takes over what a report says of the machine itself; false when a newer one is known. */
+  private absorb(m: Machine, report: Report): boolean {
+    if (report.session < m.session || (report.session === m.session && report.tick <= m.tick)) return false;
+    const now = this.o.clock.nowMs();
+    if (m.session > 0 && report.session > m.session)
+      log.info(`${m.name}: session ${report.session}, its tasks are gone`);
+    m.session = report.session;
+    m.tick = report.tick;
+    m.seenToken = report.token;
+    m.address = report.address;
+    m.zone = report.zone;
+    m.spot = report.spot;
+    m.type = this.lore.types.find((t) => t.name === report.type) ?? m.type;
+    m.reported = report.tasks;
+    if (
+      m.attempts.size === 0 &&
+      (m.state === "booting" || now - m.lastHeardMs > this.o.operator.suspectS * 1000)
+    ) {
+      // Its idle time begins when it can be used (again): neither its boot nor its silence counts.
+      m.idleSinceMs = now;
+    }
+    if (m.state === "booting") {
+      m.state = "up";
+      log.info(
+        `${m.name}: up after ${((now - m.bornMs) / 1000).toFixed(1)} s (${report.type} ${m.zone}${m.spot ? " spot" : ""})`,
+      );
+      this.r.placer.requestPass();
+    }
+    if (report.noticeS !== null) {
+      if (m.takenAtMs === null) {
+        m.noticeNew = true;
+        log.info(`${m.name}: will be taken in ${report.noticeS.toFixed(1)} s`);
+      }
+      m.takenAtMs = now + report.noticeS * 1000;
+    }
+    return true;
+  }
+
+  /** Draws conclusions from the newest report; true when the next answer should carry a higher token. */
+  digest(m: Machine): boolean {
+    const now = this.o.clock.nowMs();
+    const floor = firstToken(this.r.mandate.term);
+    const listed = new Map<string, ReportedTask>();
+    for (const t of m.reported) listed.set(`${t.jobId}/${t.task}/${t.attempt}`, t);
+    let raise = false;
+    for (const a of [...m.attempts]) {
+      const t = listed.get(`${a.job.id}/${a.task}/${a.attempt}`);
+      if (t) {
+        if (t.phase === "exited") this.exited(a, t);
+        else this.seen(a, t);
+        continue;
+      }
+      const report = { session: m.session, token: m.seenToken };
+      if (absenceProves(a, report, floor)) {
+        if (!a.inherited && a.phase === null && !a.stop && a.sentSession === m.session) {
+          // Certainly not there and never was: the same start may be sent anew.
+          a.sentToken = -1;
+          this.sendSoon(m);
+        } else this.r.attempts.lost(a);
+      } else if (a.inherited || (a.sentToken >= 0 && (a.phase !== null || a.stop) && now - a.sentMs > 1000)) {
+        // Only a report under a higher token can prove it gone.
+        if (a.sentToken >= m.token) raise = true;
+      }
+    }
+    for (const t of m.reported) {
+      if (t.phase !== "exited" || t.cause !== "done") continue;
+      const job = this.r.jobs.get(t.jobId);
+      // A result counts whichever attempt brought it.
+      if (job && !job.isDone(t.task) && !job.attemptOf(t.task)) this.r.attempts.done(job, t.task);
+    }
+    return raise;
+  }
+
+  private seen(a: Attempt, t: ReportedTask): void {
+    const now = this.o.clock.nowMs();
+    a.inherited = false;
+    if (a.sentToken < 0) {
+      // Started by an earlier leader: fence against that one's copies, too.
+      a.sentToken = firstToken(this.r.mandate.term) - 1;
+      a.sentSession = a.machine.session;
+    }
+    const phase = t.phase === "exited" ? null : t.phase;
+    if (phase !== "fetching" && a.machine.fetching.has(a.job.spec.image))
+      a.machine.imageReady(a.job.spec.image);
+    if (phase === "running" && a.runningMs === null) {
+      a.runningMs = now;
+      log.debug(
+        () =>
+          `${a.job.id}/${a.task} (${a.job.spec.className}) runs on ${a.machine.name}, ` +
+          `${((now - a.job.bornMs) / 1000).toFixed(2)} s after its submission, ${((now - a.plannedMs) / 1000).toFixed(2)} s after its plan`,
+      );
+    }
+    a.phase = phase;
+    if (a.job.cancelled && !a.stop) this.r.attempts.stopAttempt(a, 0);
+  }
+
+  private exited(a: Attempt, t: ReportedTask): void {
+    const { job, machine: m } = a;
+    const now = this.o.clock.nowMs();
+    const ranS = a.runningMs === null ? 0 : (now - a.runningMs) / 1000;
+    machineImage(m, job, t);
+    this.r.attempts.gone(a);
+    switch (t.cause) {
+      case "done":
+        m.failures.clear();
+        if (ranS > 0) this.lore.learner.ran(job.spec.className, ranS, job.spec.estimateS);
+        this.r.attempts.done(job, a.task);
+        return;
+      case "error":
+        job.errors++;
+        m.failures.set(job.id, (m.failures.get(job.id) ?? 0) + 1);
+        job.avoid.set(m.name, now + 60_000);
+        // A job with a mistake fails everywhere: try it less and less often.
+        job.notBeforeMs = now + Math.min(15_000, 100 * 2 ** Math.min(8, Math.max(0, job.errors - 2)));
+        this.judge(m);
+        break;
+      case "no_room":
+        job.avoid.set(m.name, now + 2000);
+        break;
+      case "in_use":
+        job.avoid.set(m.name, now + 3000);
+        break;
+      case "unknown":
+        job.notBeforeMs = now + 1000;
+        break;
+      default:
+        break;
+    }
+    if (job.spec.kind === "gang") this.r.attempts.breakGang(job);
+  }
+
+  /**
+   * A machine on which jobs fail that run well elsewhere, or several jobs and nothing succeeds, is faulty. It gets no
+   * new work; what runs there already goes on, for such a machine fails only what it starts.
+   */
+  private judge(m: Machine): void {
+    if (m.cordoned || !looksFaulty(m, this.r.jobs)) return;
+    this.cordon(m, "fails what it starts");
+    m.cordonUntilMs = this.o.clock.nowMs() + FAULTY_MS;
+    m.failures.clear();
+    for (const a of [...m.attempts])
+      if (a.phase === null || a.phase === "fetching") this.r.attempts.stopOrderly(a);
+  }
+
+  private cordon(m: Machine, reason: string): void {
+    if (m.cordoned) return;
+    m.cordoned = true;
+    m.cordonReason = reason;
+    log.info(`${m.name}: no new work: ${reason}`);
+  }
+
+  /** The cloud is about to take it: whoever can save does so now, whoever can't be through in time goes. */
+  private drainTaken(m: Machine): void {
+    this.cordon(m, "the cloud takes it");
+    const now = this.o.clock.nowMs();
+    for (const a of [...m.attempts]) {
+      const { spec } = a.job;
+      const leftS = ((m.takenAtMs ?? now) - now) / 1000;
+      const ranS = a.runningMs === null ? 0 : (now - a.runningMs) / 1000;
+      const needS = this.lore.learner.expectedS(spec.className, spec.estimateS) - ranS;
+      if (spec.kind === "array" && spec.checkpointS === 0 && a.phase === "running" && needS < leftS * 0.6)
+        continue;
+      this.r.attempts.stopOrderly(a);
+    }
+  }
+
+  sendSoon(m: Machine): void {
+    if (m.state !== "up" || m.address === "") return;
+    if (this.errands.has(m.name)) {
+      this.waiting.add(m.name);
+      return;
+    }
+    if (!this.r.loaded || this.o.clock.nowMs() >= this.r.mandate.ackUntilMs) return;
+    const now = this.o.clock.nowMs();
+    const letter = writeLetter(m, this.r.jobs, now, { starts: this.r.full(), raise: false, direct: true });
+    if (letter.commands.length === 0) return;
+    this.errands.add(m.name);
+    this.o.courier.tell({
+      kind: "send",
+      errand: {
+        machine: m.name,
+        address: m.address,
+        token: letter.token,
+        session: m.session,
+        commands: letter.commands,
+      },
+    });
+  }
+
+  /**
+   * A new leader asks the workers for reports instead of waiting until they have found it. No session has number 0, so
+   * nothing is carried out, and the refusal brings the report. The lease is not renewed by that, nor counted as if.
+   */
+  seek(m: Machine): void {
+    if (this.errands.has(m.name) || m.address === "") return;
+    this.errands.add(m.name);
+    const errand = { machine: m.name, address: m.address, token: m.token, session: 0, commands: [] };
+    this.o.courier.tell({ kind: "send", errand });
+  }
+
+  errandBack(result: ErrandResult): void {
+    const m = this.r.machines.get(result.errand.machine);
+    if (!m) return;
+    this.errands.delete(m.name);
+    // An errand of an earlier term of ours may come back late: its token tells.
+    if (result.errand.token < firstToken(this.r.mandate.term)) return;
+    if (result.report && this.r.loaded) {
+      if (result.report.token >= firstToken(this.r.mandate.term + 1)) {
+        this.o.onDeposed(this.r.mandate.term);
+        return;
+      }
+      const fresh = this.absorb(m, result.report);
+      m.lastHeardMs = this.o.clock.nowMs();
+      if (fresh) this.digest(m);
+      if (result.status === 409 && fresh) {
+        // Refused whole: the starts in it were not carried out, so they may go again at once.
+        for (const a of m.attempts)
+          if (a.phase === null && a.sentToken === result.errand.token) a.sentMs = -Infinity;
+        this.waiting.add(m.name);
+      }
+    }
+    if (this.waiting.delete(m.name) && result.status !== null) this.sendSoon(m);
+  }
+
+  astray(machines: number): void {
+    const now = this.o.clock.nowMs();
+    let up = 0;
+    let heard = 0;
+    for (const m of this.r.machines.values()) {
+      if (m.state !== "up") continue;
+      up++;
+      if (now - m.lastHeardMs < 1000 * this.o.platform.reportS * 2.2) heard++;
+    }
+    if (!isIsolated({ astray: machines, up, heard, leadingMs: now - this.r.startedMs })) return;
+    log.info(`${machines} machines reach others, ${heard} of ${up} reach this node`);
+    this.o.onIsolated(this.r.mandate.term);
+  }
+
+  superviseAll(now: number): void {
+    const { operator, platform } = this.o;
+    // Until its lease is over, its tasks count as running and may come back; after that their place is free without
+    // giving the machine back, and most silent machines do come back.
+    const silentAfter = Math.max(operator.abandonS, platform.leaseS + 2) * 1000;
+    // When most of a zone is silent at once, its machines are probably well and only we can't hear them:
+    // their leases prove their tasks gone, and giving all of them back would leave nothing to come back to.
+    const zones = new Map<string, { up: number; silent: number }>();
+    for (const m of this.r.machines.values()) {
+      if (m.state !== "up") continue;
+      const z = zones.get(m.zone) ?? { up: 0, silent: 0 };
+      z.up++;
+      if (now - m.lastHeardMs > operator.suspectS * 1000) z.silent++;
+      zones.set(m.zone, z);
+    }
+    for (const m of [...this.r.machines.values()]) {
+      if (m.state === "leaving") continue;
+      if (m.cordoned && now > m.cordonUntilMs) m.cordoned = false;
+      if (m.state === "booting") {
+        const boot = m.type?.bootS ?? 60;
+        // Known only from a record, and silent since this term began: its lease proves the tasks gone, also those
+        // whose start is still on its way, for that names a session that is over. The machine may yet come back.
+        if (
+          m.attempts.size > 0 &&
+          now >= leaseOverMs(Math.max(m.lastAckMs, this.r.mandate.othersSilentFromMs), platform.leaseS)
+        ) {
+          log.info(`${m.name}: not heard of in this term, its lease is over`);
+          for (const a of [...m.attempts]) this.r.attempts.lost(a);
+        }
+        const sinceMs = m.attempts.size > 0 ? Math.max(m.bornMs, this.r.startedMs) : m.bornMs;
+        const limit = m.attempts.size > 0 ? platform.leaseS * 2 + 10 : boot * 3 + 30;
+        if (now - sinceMs > limit * 1000 && now - this.r.startedMs > 5000)
+          this.r.fleet.remove(m, "never came up");
+        continue;
+      }
+      const silence = now - m.lastHeardMs;
+      if (m.attempts.size > 0) {
+        const ack = Math.max(m.lastAckMs, this.r.mandate.othersSilentFromMs);
+        if (now >= leaseOverMs(ack, platform.leaseS)) {
+          log.info(`${m.name}: silent for ${(silence / 1000).toFixed(1)} s, its lease is over`);
+          for (const a of [...m.attempts]) this.r.attempts.lost(a);
+        }
+      }
+      const zone = zones.get(m.zone)!;
+      const mass = zone.silent >= 3 && zone.silent * 2 > zone.up;
+      if (silence > (mass ? 90_000 : silentAfter)) {
+        this.r.fleet.remove(m, `silent for ${(silence / 1000).toFixed(1)} s`);
+        continue;
+      }
+      if (m.takenAtMs !== null && now > m.takenAtMs + 5000 && silence > 4000) {
+        this.r.fleet.remove(m, "taken by the cloud");
+        continue;
+      }
+      if (m.attempts.size === 0 && m.idleSinceMs !== null) {
+        if (m.cordoned) this.r.fleet.remove(m, m.cordonReason);
+        else if (
+          silence < operator.suspectS * 1000 &&
+          now - m.idleSinceMs > operator.idleKeepS * 1000 &&
+          now - m.bornMs > 58_000
+        )
+          this.r.fleet.remove(m, "idle");
+        continue;
+      }
+      for (const a of m.attempts) {
+        if (a.stop && now - a.stop.lastSentMs > 1500 && silence < 3000) {
+          this.sendSoon(m);
+          break;
+        }
+      }
+    }
+  }
+}
+
+/** Failures of jobs that run well elsewhere count double. Pure. */
+export function looksFaulty(m: Machine, jobs: Map<string, Job>): boolean {
+  let score = 0;
+  let proven = 0;
+  for (const [id, n] of m.failures) {
+    const job = jobs.get(id);
+    const well =
+      job !== undefined &&
+      (job.doneCount > 0 || [...job.attempts].some((a) => a.machine !== m && a.phase === "running"));
+    score += well ? 2 * n : n;
+    if (well) proven++;
+  }
+  return score >= 3 && (proven > 0 || m.failures.size >= 2);
+}
+
+/** A task that ran had its image. */
+function machineImage(m: Machine, job: Job, t: ReportedTask): void {
+  if (t.cause === "done" || t.cause === "error") m.imageReady(job.spec.image);
+}
