--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -64,6 +64,9 @@
     const now = this.o.clock.nowMs();
     if (m.session > 0 && report.session > m.session)
       log.info(`${m.name}: session ${report.session}, its tasks are gone`);
+    // A session's lease runs from its beginning, also when none of its reports was answered yet. Counted from an older
+    // answer, a task started in the new session looked gone while it ran (rule `ran_twice`, docs/incidents/overload.md).
+    if (report.session > m.session) m.lastAckMs = Math.max(m.lastAckMs, now);
     m.session = report.session;
     m.tick = report.tick;
     m.seenToken = report.token;
