--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -179,6 +179,7 @@
   }
 
   runningCount(): number {
+    if (this.attempts.size === 0) return 0;
     let running = 0;
     for (const a of this.attempts) if (a.phase === "running" || a.phase === "saving") running++;
     return running;
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -20,7 +20,18 @@
   token: number;
   /** Highest token under which a start went out to it. */
   startToken = -1;
-  /** When we last received a report that we then answered; its lease can't have begun later. */
+  /** The controller that its reports come through; null: not known. */
+  server: string | null = null;
+  /** The newest of its reports (its answers to commands count ticks as well). */
+  reportSession = 0;
+  reportTick = 0;
+  /**
+   * Token that it must show before it gets new work: hearing a machine is no proof that it hears us. A new leader
+   * asks for one of its own term, so that a late copy of a report brings back no machine.
+   */
+  challenge: number;
+  probedMs = -Infinity;
+  /** When we last learned that a report of it was answered, or that it began a session; its lease began no later. */
   lastAckMs = -Infinity;
   lastHeardMs: number;
   /** Steady time at which the cloud takes it, when there is a notice. */
@@ -50,10 +61,22 @@
     public bornMs: number,
   ) {
     this.token = firstToken;
+    this.challenge = firstToken;
     this.lastHeardMs = bornMs;
     this.idleSinceMs = bornMs;
   }
 
+  /** It has shown that what we send reaches it. */
+  get hears(): boolean {
+    return this.seenToken >= this.challenge;
+  }
+
+  /** What we sent got no answer: it has to show a token that it can only have from us, from now on. */
+  doubt(): void {
+    this.token = Math.max(this.token, this.startToken) + 1;
+    this.challenge = this.token;
+  }
+
   attach(attempt: Attempt): void {
     this.attempts.add(attempt);
     const spec = attempt.job.spec;
--- a/src/bookkeeping/stateClient.ts
+++ b/src/bookkeeping/stateClient.ts
@@ -53,9 +53,10 @@
     const now = clock.nowMs();
     // The limits are the cluster's. The leader writes most, so a node may use over its even share,
     // and a 429 (certainly not executed) tells it when all of them together took too much.
-    const share = limits.nodes > 1 ? 0.55 : 0.95;
-    this.requests = new Bucket(limits.rps * share, limits.rps * share, now);
-    this.writes = new Bucket(limits.writeRps * share, limits.writeRps * share, now);
+    const reads = limits.nodes > 1 ? 0.5 : 0.95;
+    const writes = limits.nodes > 1 ? 0.75 : 0.95;
+    this.requests = new Bucket(limits.rps * reads, limits.rps * reads, now);
+    this.writes = new Bucket(limits.writeRps * writes, limits.writeRps * writes, now);
   }
 
   writeRoom(): number {
@@ -130,8 +131,8 @@
     await this.send("DELETE", statePaths.lease(id), undefined, deadlineMs);
   }
 
-  async watch(prefix: string, after: number, waitMs: number): Promise<WatchOutcome> {
-    const deadline = this.clock.nowMs() + waitMs + 3000;
+  async watch(prefix: string, after: number, waitMs: number, deadlineMs?: number): Promise<WatchOutcome> {
+    const deadline = deadlineMs ?? this.clock.nowMs() + waitMs + 3000;
     const reply = await this.send("GET", statePaths.watch(prefix, after, waitMs), undefined, deadline);
     if (reply?.status === 410) return { kind: "too old" };
     const got = reply?.status === 200 ? decodeEvents(reply.body) : null;
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -1,6 +1,7 @@
 import type { JobSpec, MachineType } from "../protocol/model.js";
 import { asCount } from "../protocol/checks.js";
-import { decodeFinal, decodeHead, encodeHead, keys, type Final, type Head } from "../bookkeeping/records.js";
+import type { JobFeed } from "../bookkeeping/jobFeed.js";
+import { decodeFinal, encodeHead, keys, type Final, type Head } from "../bookkeeping/records.js";
 import type { StateClient } from "../bookkeeping/stateClient.js";
 import { decodeSubmission, encodeAccepted, encodeState, isJobId, type JobPhase } from "../protocol/users.js";
 import type { Team } from "../settings/platform.js";
@@ -22,10 +23,8 @@
   state: StateClient;
   clock: Clock;
   teams: Team[];
-  zones: string[];
   valueBytes: number;
-  /** A live job was accepted or cancelled here: the leader may want to look at once. */
-  onChange: () => void;
+  feed: JobFeed;
 }
 
 /** Whether a job could ever run; null when it can. Pure. */
@@ -52,6 +51,7 @@
 const POLL_MS = 1700;
 const RETRY_AFTER = { "Retry-After": "1" };
 const FINALS_KEPT = 20_000;
+const COUNTS_KEPT = 5000;
 
 /**
  * Answers users, at any node. What is told is durable first (rules `forgotten`, `went_back`, `invented`):
@@ -61,6 +61,7 @@
 export class Admission extends Actor<Message> {
   private types: MachineType[] | null = null;
   private readonly finals = new Map<string, Final>();
+  /** For display only. */
   private readonly counts = new Map<string, { done: number; running: number }>();
 
   constructor(private readonly o: AdmissionOptions) {
@@ -79,8 +80,9 @@
         this.types = message.types;
         break;
       case "tally":
-        this.counts.clear();
         for (const job of message.jobs) this.counts.set(job.id, job);
+        // Jobs that nobody asked about here until they were over.
+        while (this.counts.size > COUNTS_KEPT) this.counts.delete(this.counts.keys().next().value!);
         break;
       case "submit":
         this.run(this.submit(message.value), message.reply);
@@ -141,14 +143,12 @@
       deadline,
     );
     if (outcome.kind === "ok") {
-      this.o.onChange();
       return { status: 201, body: encodeAccepted(spec.id, "pending") };
     }
     if (outcome.kind === "refused") return this.later("the state service does not take changes");
     // Known already, or the outcome is unknown: only reading tells.
     const known = await this.lookUp(spec.id, Math.max(deadline, this.o.clock.nowMs() + 300));
     if (known === "failed" || known === "absent") return this.later("the outcome is not known yet");
-    this.o.onChange();
     return this.knownAnswer(spec.id, known);
   }
 
@@ -162,8 +162,8 @@
   }
 
   /**
-   * A fresh read. The live key first: jobs move from live to final in one transaction and never back, so a job
-   * that is at neither place in this order had not been accepted when we began.
+   * A fresh read. Jobs move from live to final in one transaction and never back, so a job that was not live at a
+   * moment after the question, and has no final key after that, had not been accepted when we began.
    */
   private async lookUp(
     id: string,
@@ -171,20 +171,22 @@
   ): Promise<{ head: Head; version: number } | { final: Final } | "absent" | "failed"> {
     const remembered = this.finals.get(id);
     if (remembered) return { final: remembered };
-    const live = await this.o.state.get(keys.head(id), deadlineMs);
-    if (live.kind === "failed") return "failed";
-    if (live.kind === "found") {
-      const head = decodeHead(live.item.value);
-      return head ? { head, version: live.item.version } : "failed";
-    }
+    if (!(await this.o.feed.fresh(deadlineMs))) return "failed";
+    const live = this.o.feed.live(id);
+    if (live) return live;
     const over = await this.o.state.get(keys.final(id), deadlineMs);
     if (over.kind === "failed") return "failed";
-    if (over.kind === "absent") return "absent";
-    const final = decodeFinal(over.item.value);
-    if (!final) return "failed";
-    this.finals.set(id, final);
-    if (this.finals.size > FINALS_KEPT) this.finals.delete(this.finals.keys().next().value!);
-    return { final };
+    if (over.kind === "found") {
+      const final = decodeFinal(over.item.value);
+      if (!final) return "failed";
+      this.counts.delete(id);
+      this.finals.set(id, final);
+      if (this.finals.size > FINALS_KEPT) this.finals.delete(this.finals.keys().next().value!);
+      return { final };
+    }
+    // A live record that can't be read is not absent.
+    const unreadable = await this.o.state.get(keys.head(id), deadlineMs);
+    return unreadable.kind === "absent" ? "absent" : "failed";
   }
 
   private async show(id: string): Promise<Answer> {
@@ -219,7 +221,6 @@
         deadline,
       );
       if (outcome.kind === "ok") {
-        this.o.onChange();
         return { status: 200, body: encodeAccepted(id, "cancelled") };
       }
       if (outcome.kind === "refused") return this.later("the state service does not take changes");
--- a/src/coordination/commands.ts
+++ b/src/coordination/commands.ts
@@ -1,5 +1,5 @@
 import type { Command } from "../protocol/model.js";
-import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import type { Job } from "../bookkeeping/jobs.js";
 import type { Machine } from "../bookkeeping/machines.js";
 
 export interface Letter {
@@ -22,29 +22,29 @@
   m: Machine,
   jobs: Map<string, Job>,
   nowMs: number,
-  options: { starts: boolean; raise: boolean; direct: boolean },
+  options: { starts: boolean; raise: boolean },
 ): Letter {
   const commands: Command[] = [];
   let reaps = false;
-  const known = new Map<string, Attempt>();
-  for (const a of m.attempts) known.set(`${a.job.id}/${a.task}/${a.attempt}`, a);
   for (const t of m.reported) {
     const { jobId, task, attempt } = t;
     const job = jobs.get(jobId);
-    if (t.phase === "exited") {
-      // A result is reaped only once it is durable.
-      if (t.cause === "done" && job && !job.cancelled && !job.isDurablyDone(task)) continue;
-      if (known.has(`${jobId}/${task}/${attempt}`)) continue;
-      commands.push({ op: "reap", jobId, task, attempt });
-      reaps = true;
-    } else if (!known.has(`${jobId}/${task}/${attempt}`)) {
+    const a = job?.attemptOf(task);
+    const ours = a !== undefined && a.attempt === attempt && a.machine === m;
+    if (ours) continue;
+    if (t.phase !== "exited") {
       // Nobody's: its job is over, or another attempt has taken its place.
       commands.push({ op: "stop", jobId, task, attempt, graceS: 0 });
+      continue;
     }
+    // A result is reaped only once it is durable.
+    if (t.cause === "done" && job && !job.cancelled && !job.isDurablyDone(task)) continue;
+    commands.push({ op: "reap", jobId, task, attempt });
+    reaps = true;
   }
   for (const a of m.attempts) {
     if (a.stop && (a.sentToken >= 0 || a.inherited)) {
-      if (options.direct && a.stop.sent && nowMs - a.stop.lastSentMs < REPEAT_STOP_MS) continue;
+      if (a.stop.sent && nowMs - a.stop.lastSentMs < REPEAT_STOP_MS) continue;
       a.stop.sent = true;
       a.stop.lastSentMs = nowMs;
       commands.push({ op: "stop", jobId: a.job.id, task: a.task, attempt: a.attempt, graceS: a.stop.graceS });
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -1,5 +1,5 @@
-import type { MachineType, Report } from "../protocol/model.js";
-import { encodeElsewhere } from "../protocol/workers.js";
+import type { Errand, ErrandResult, MachineType } from "../protocol/model.js";
+import type { Grant, Serving } from "../protocol/peers.js";
 import type { Transaction } from "../bookkeeping/ledger.js";
 import type {
   CommitOutcome,
@@ -11,25 +11,22 @@
 import type { Operator } from "../settings/operator.js";
 import type { Platform } from "../settings/platform.js";
 import type { Clock, Timer } from "../transport/clock.js";
-import type { Answer } from "../transport/httpServer.js";
 import { Actor } from "../transport/mailbox.js";
 import { log } from "../transport/log.js";
 import type { CloudDesk, CloudNews } from "./cloudDesk.js";
-import type { Courier, ErrandResult } from "./courier.js";
 import type { ElectionNews } from "./election.js";
 import { Lore } from "./lore.js";
 import { Reign } from "./reign.js";
 
 export type ConductorMessage =
   | { kind: "election"; news: ElectionNews }
-  | { kind: "report"; report: Report; reply: (answer: Answer) => void }
+  | { kind: "serving"; serving: Serving }
   | { kind: "loaded"; term: number; heads: ListOutcome; chunks: ListOutcome; rest: Item[] | null }
   | { kind: "watched"; term: number; outcome: WatchOutcome }
   | { kind: "reread"; term: number; key: string; item: Item | null; ok: boolean }
   | { kind: "committed"; term: number; transaction: Transaction; outcome: CommitOutcome }
-  | { kind: "errand"; result: ErrandResult }
+  | { kind: "errand"; term: number; result: ErrandResult }
   | { kind: "cloud"; news: CloudNews }
-  | { kind: "astray"; machines: number }
   | { kind: "pass"; term: number }
   | { kind: "write"; term: number }
   | { kind: "tick" };
@@ -40,12 +37,17 @@
   state: StateClient;
   clock: Clock;
   cloud: CloudDesk;
-  courier: Courier;
+  /** Has commands carried, by the controller that serves the machine or from here. */
+  errand: (term: number, via: string | null, errand: Errand) => void;
+  sendGrant: (peer: string, grant: Grant) => void;
+  /** Workers that report to this node. */
+  served: () => number;
+  lagMs: () => number;
   /** To the conductor itself: how answers of the outside come back into its mailbox. */
   tell: (message: ConductorMessage) => void;
   onDeposed: (term: number) => void;
-  /** Nobody's reports reach us, though others get them. */
-  onIsolated: (term: number) => void;
+  /** This node falls behind, and others do not. */
+  onBehind: (term: number) => void;
   onTypes: (types: MachineType[]) => void;
   onTally: (term: number, jobs: { id: string; done: number; running: number }[]) => void;
 }
@@ -55,7 +57,6 @@
 /** The leader's actor: holds the term's parts while there is one, and hands each message to the part it concerns. */
 export class Conductor extends Actor<ConductorMessage> {
   private reign: Reign | null = null;
-  private leader: string | null = null;
   private readonly o: ConductorOptions;
   private readonly lore: Lore;
   private timer: Timer | null = null;
@@ -78,7 +79,6 @@
 
   protected override failed(message: ConductorMessage, error: unknown): void {
     log.error(`conductor: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
-    if (message.kind === "report") message.reply({ status: 503, body: {} });
   }
 
   protected override handle(message: ConductorMessage): void {
@@ -86,28 +86,25 @@
       case "election":
         this.elected(message.news);
         return;
-      case "report":
-        this.reported(message.report, message.reply);
-        return;
       case "tick":
         this.tick();
         return;
       case "cloud":
         this.heardFromCloud(message.news);
         return;
-      case "errand":
-        this.reign?.supervisor.errandBack(message.result);
-        return;
-      case "astray":
-        this.reign?.supervisor.astray(message.machines);
-        return;
       default:
         break;
     }
     // Whatever belongs to a term that is over is dropped.
     const r = this.reign;
-    if (!r || r.mandate.term !== message.term) return;
+    if (!r || r.mandate.term !== (message.kind === "serving" ? message.serving.term : message.term)) return;
     switch (message.kind) {
+      case "serving":
+        r.supervisor.served(message.serving);
+        break;
+      case "errand":
+        r.supervisor.errandBack(message.result);
+        break;
       case "loaded":
         r.archive.loaded(message.heads, message.chunks, message.rest);
         break;
@@ -130,7 +127,6 @@
   }
 
   private elected(news: ElectionNews): void {
-    this.leader = news.leader;
     const { mandate } = news;
     if (this.reign && this.reign.mandate.term === mandate?.term) {
       this.reign.mandate = mandate;
@@ -141,17 +137,6 @@
     this.reign?.archive.load();
   }
 
-  private reported(report: Report, reply: (answer: Answer) => void): void {
-    const r = this.reign;
-    if (r && this.o.clock.nowMs() < r.mandate.ackUntilMs) {
-      r.supervisor.reported(report, reply);
-      return;
-    }
-    const elsewhere = r ? null : this.leader;
-    if (elsewhere === null) reply({ status: 503, body: {} });
-    else reply({ status: 421, body: encodeElsewhere(elsewhere) });
-  }
-
   private heardFromCloud(news: CloudNews): void {
     if (news.kind !== "types") {
       this.reign?.fleet.heard(news);
--- a/src/coordination/courier.ts
+++ b/src/coordination/courier.ts
@@ -1,35 +1,20 @@
-import type { Command, Report } from "../protocol/model.js";
+import type { Errand, ErrandResult } from "../protocol/model.js";
 import { decodeReport, DIRECT_PATH, encodeDirect } from "../protocol/workers.js";
 import type { HttpCaller } from "../transport/httpClient.js";
 import { Actor } from "../transport/mailbox.js";
 import { log } from "../transport/log.js";
 
-export interface Errand {
-  machine: string;
-  address: string;
-  token: number;
-  session: number;
-  commands: Command[];
-}
-
-export interface ErrandResult {
-  errand: Errand;
-  /** Null: no answer, so it may be carried out at any later time. */
-  status: number | null;
-  report: Report | null;
-  neverSent: boolean;
-}
-
-type Message = { kind: "send"; errand: Errand } | { kind: "back"; result: ErrandResult };
+type Back = (result: ErrandResult) => void;
+type Message =
+  { kind: "send"; errand: Errand; back: Back } | { kind: "back"; result: ErrandResult; back: Back };
 
-/** Carries commands straight to workers. One errand at a time to each machine; the newest one waits. */
+/** Carries commands straight to workers. One errand at a time to each machine. */
 export class Courier extends Actor<Message> {
   private readonly busy = new Set<string>();
 
   constructor(
     private readonly http: HttpCaller,
     private readonly timeoutMs: number,
-    private readonly onResult: (result: ErrandResult) => void,
   ) {
     super();
   }
@@ -40,38 +25,32 @@
 
   protected override handle(message: Message): void {
     if (message.kind === "back") {
-      this.busy.delete(message.result.errand.machine);
-      this.onResult(message.result);
+      this.busy.delete(message.result.machine);
+      message.back(message.result);
       return;
     }
-    const { errand } = message;
-    if (this.busy.has(errand.machine)) {
+    const { errand, back } = message;
+    const { machine, token } = errand;
+    if (this.busy.has(machine)) {
       // The sender keeps to one errand a machine; a second one was never sent.
-      this.onResult({ errand, status: null, report: null, neverSent: true });
+      back({ machine, token, status: null, neverSent: true, report: null });
       return;
     }
-    this.busy.add(errand.machine);
-    this.http
-      .call(
-        errand.address,
-        "POST",
-        DIRECT_PATH,
-        encodeDirect(errand.token, errand.session, errand.commands),
-        this.timeoutMs,
-      )
-      .then(
-        (reply) => {
-          this.tell({
-            kind: "back",
-            result: { errand, status: reply.status, report: decodeReport(reply.body), neverSent: false },
-          });
-        },
-        (error: { neverSent?: boolean }) => {
-          this.tell({
-            kind: "back",
-            result: { errand, status: null, report: null, neverSent: error.neverSent === true },
-          });
-        },
-      );
+    this.busy.add(machine);
+    const body = encodeDirect(token, errand.session, errand.commands);
+    this.http.call(errand.address, "POST", DIRECT_PATH, body, this.timeoutMs).then(
+      (reply) => {
+        const report = decodeReport(reply.body);
+        this.tell({
+          kind: "back",
+          back,
+          result: { machine, token, status: reply.status, neverSent: false, report },
+        });
+      },
+      (error: { neverSent?: boolean }) => {
+        const neverSent = error.neverSent === true;
+        this.tell({ kind: "back", back, result: { machine, token, status: null, neverSent, report: null } });
+      },
+    );
   }
 }
--- a/src/coordination/election.ts
+++ b/src/coordination/election.ts
@@ -25,6 +25,8 @@
   mandate: Mandate | null;
   /** Name of the leader as far as we know; null: nobody. */
   leader: string | null;
+  /** That leader's term. */
+  term: number;
 }
 
 export interface ElectionOptions {
@@ -62,15 +64,15 @@
   | { kind: "renewed"; term: number; outcome: "ok" | "ended" | "failed"; sentMs: number }
   | { kind: "peer"; message: PeerMessage }
   | { kind: "deposed"; term: number }
-  | { kind: "isolated"; term: number }
+  | { kind: "behind"; term: number }
   | { kind: "refused"; peer: string };
 
 /** How long a vouching counts, from when it was asked for. */
 export const VOUCH_MS = 2000;
 /** A peer vouches only if it was refused this recently, and served no later than that. */
 const REFUSED_WITHIN_MS = 1500;
-/** A leader that the workers can't reach lets the others try for so long. */
-const STAND_BACK_MS = 8000;
+/** A leader that falls behind lets the others try for so long. */
+const STAND_BACK_MS = 20_000;
 
 export function readLead(items: Item[]): LeadView {
   const view: LeadView = { termVersion: 0, term: 0, hold: null };
@@ -119,6 +121,7 @@
   private knownTerm = 0;
   private everRead = false;
   private leader: string | null = null;
+  private leaderTerm = 0;
   private mine: { term: number; termVersion: number; lease: number; renewedSentMs: number } | null = null;
   private campaigning = false;
   private busy = false;
@@ -178,10 +181,10 @@
           this.again(0);
         }
         break;
-      case "isolated":
+      case "behind":
         if (this.mine && this.mine.term === message.term) {
           this.standBackUntilMs = this.o.clock.nowMs() + STAND_BACK_MS;
-          this.resign("the workers reach others but not this node");
+          this.resign("this node falls behind, others do not");
         }
         break;
     }
@@ -217,7 +220,7 @@
     }
     this.everRead = true;
     this.knownTerm = Math.max(this.knownTerm, view.term);
-    this.setLeader(view.hold ? view.hold.node : null);
+    this.setLeader(view.hold ? view.hold.node : null, view.hold?.term ?? 0);
     const { suspect } = this;
     this.suspect = null;
     if (view.hold && suspect !== null && view.hold.node === suspect) {
@@ -303,6 +306,7 @@
     this.vouchedUntilMs = -Infinity;
     this.asks.clear();
     this.leader = this.o.node;
+    this.leaderTerm = won.term;
     log.info(`leading term ${won.term}`);
     this.checkConfirmed();
     this.askConfirm();
@@ -356,16 +360,19 @@
     this.mine = null;
     this.leader = null;
     this.vouchedUntilMs = -Infinity;
-    this.o.onNews({ mandate: null, leader: null });
+    this.o.onNews({ mandate: null, leader: null, term: 0 });
     void this.o.state.endLease(lease, this.o.clock.nowMs() + 1000);
     this.again(100 + this.o.random() * 200);
   }
 
-  private setLeader(leader: string | null): void {
+  private setLeader(leader: string | null, term: number): void {
     if (leader === this.o.node) leader = null;
-    if (leader === this.leader) return;
+    // A read may be older than what the leader itself has told us since.
+    if (leader !== null && term < this.leaderTerm) return;
+    if (leader === this.leader && (leader === null || term === this.leaderTerm)) return;
     this.leader = leader;
-    this.o.onNews({ mandate: null, leader });
+    if (leader !== null) this.leaderTerm = term;
+    this.o.onNews({ mandate: null, leader, term });
   }
 
   private publish(): void {
@@ -379,6 +386,7 @@
         othersSilentFromMs: this.othersSilentFromMs,
       },
       leader: this.o.node,
+      term: this.mine.term,
     });
   }
 
@@ -416,7 +424,7 @@
       case "confirm?":
         // From now on we vouch for no earlier term: `knownTerm` is what `mayVouch` looks at.
         this.knownTerm = Math.max(this.knownTerm, m.term);
-        if (m.term === this.knownTerm && !this.mine) this.setLeader(m.from);
+        if (m.term === this.knownTerm && !this.mine) this.setLeader(m.from, m.term);
         if (m.term >= this.knownTerm)
           this.o.send(m.from, { kind: "confirm", from: this.o.node, term: m.term });
         if (this.mine && m.term > this.mine.term) this.resign(`${m.from} leads term ${m.term}`);
--- a/src/coordination/fences.ts
+++ b/src/coordination/fences.ts
@@ -41,6 +41,40 @@
   return lastPossibleAckMs + leaseS * 1000 * (1 + 2 * DRIFT) + 50;
 }
 
+/** What the leader knows of another controller that acknowledges reports under its grants, in the leader's time. */
+export interface ServerFacts {
+  /** After this it acknowledges nothing. */
+  grantUntilMs: number;
+  /** Up to here all that it acknowledged is known. */
+  coveredMs: number;
+  /** Before this it may have acknowledged anything, and we shall not learn what. */
+  blindMs: number;
+}
+
+/**
+ * Steady time at which the lease of a worker is certainly over, though others acknowledge reports as well; Infinity
+ * while that can't be said. Sought is a stretch of a lease's length in which certainly nobody has acknowledged it:
+ * after the last acknowledgement known, and for each controller either up to where all of its own are known, or after
+ * its grant.
+ */
+export function silentFromMs(lastAckMs: number, servers: Iterable<ServerFacts>, leaseS: number): number {
+  let fromMs = lastAckMs;
+  const open: ServerFacts[] = [];
+  for (const s of servers) {
+    fromMs = Math.max(fromMs, s.blindMs);
+    open.push(s);
+  }
+  for (let moved = true; moved;) {
+    moved = false;
+    for (const s of open) {
+      if (s.coveredMs >= leaseOverMs(fromMs, leaseS) || s.grantUntilMs <= fromMs) continue;
+      fromMs = s.grantUntilMs;
+      moved = true;
+    }
+  }
+  return leaseOverMs(fromMs, leaseS);
+}
+
 /** A leader's own hold, counted from when its renewal was sent; we count fast, the service may count slow. */
 export function holdUntilMs(renewalSentMs: number, ttlMs: number): number {
   return renewalSentMs + ttlMs * (1 - 2 * DRIFT) - 20;
--- /dev/null
+++ b/src/coordination/gate.ts
@@ -0,0 +1,313 @@
+import type { Heard, Report, SeenReport } from "../protocol/model.js";
+import type { Grant, Serving } from "../protocol/peers.js";
+import { encodeElsewhere, encodeResponse } from "../protocol/workers.js";
+import type { Clock, Timer } from "../transport/clock.js";
+import type { Answer } from "../transport/httpServer.js";
+import { Actor } from "../transport/mailbox.js";
+import { log } from "../transport/log.js";
+import type { ElectionNews, Mandate } from "./election.js";
+import { DRIFT, firstToken } from "./fences.js";
+
+type Message =
+  | { kind: "election"; news: ElectionNews }
+  | { kind: "report"; report: Report; reply: (answer: Answer) => void }
+  | { kind: "grant"; grant: Grant }
+  | { kind: "flush" }
+  | { kind: "tick" };
+
+export interface GateOptions {
+  node: string;
+  /** Different in each process; below 2^48. */
+  life: number;
+  clock: Clock;
+  reportS: number;
+  /** To the leader, whoever that is; true when it went out. */
+  toLeader: (leader: string, serving: Serving) => void;
+  /** To the conductor beside us, while it leads. */
+  toConductor: (serving: Serving) => void;
+  /** A worker has seen the token of a later term. */
+  onLaterTerm: (term: number) => void;
+  lagMs: () => number;
+}
+
+/** What a node remembers of a worker that reports to it. */
+interface Known {
+  report: Report;
+  /** Newest of its reports, not of its answers to commands. */
+  session: number;
+  tick: number;
+  heardMs: number;
+}
+
+const TICK_MS = 500;
+/** Changes wait this long for company. */
+const GATHER_MS = 8;
+/** A worker that has not reported for so long is forgotten here; the leader knows more. */
+const FORGET_MS = 60_000;
+/** Tasks in the reports of one frame. */
+const FRAME_TASKS = 1200;
+/** A node this far behind sends workers on to nodes that keep up. */
+const SLOW_MS = 400;
+/** The leader has other work; of workers it takes this share of what the others take. */
+const LEADER_SHARE = 0.5;
+
+/**
+ * Answers workers' reports, at every node, under a grant of the leader (or by the leader's own mandate). A 200 renews
+ * a worker's lease, so it is given only while the grant lasts, and every one of them is told to the leader, whose
+ * proofs count on that (rule `ran_twice`). Commands come from the leader alone, by errands.
+ */
+export class Gate extends Actor<Message> {
+  private leader: string | null = null;
+  private term = 0;
+  private mandate: Mandate | null = null;
+  private grantUntilMs = -Infinity;
+  private echoMs = 0;
+  private seq = 0;
+  private homes: Grant["homes"] = [];
+  private readonly known = new Map<string, Known>();
+  private readonly heard = new Map<string, Heard>();
+  private readonly changed = new Map<string, Known>();
+  private machines = 0;
+  private flushSet = false;
+  private timer: Timer | null = null;
+  private stopped = false;
+
+  constructor(private readonly o: GateOptions) {
+    super();
+  }
+
+  start(): void {
+    this.tell({ kind: "tick" });
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+  }
+
+  /** Workers that report here. */
+  get served(): number {
+    return this.machines;
+  }
+
+  protected override failed(message: Message, error: unknown): void {
+    log.error(`gate: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
+    if (message.kind === "report") message.reply({ status: 503, body: {} });
+  }
+
+  protected override handle(message: Message): void {
+    switch (message.kind) {
+      case "election":
+        this.elected(message.news);
+        break;
+      case "report":
+        this.report(message.report, message.reply);
+        break;
+      case "grant":
+        this.granted(message.grant);
+        break;
+      case "flush":
+        this.flushSet = false;
+        this.flush();
+        break;
+      case "tick":
+        this.tick();
+        break;
+    }
+  }
+
+  private elected(news: ElectionNews): void {
+    const led = this.mandate?.term;
+    this.mandate = news.mandate;
+    this.leader = news.leader;
+    if (news.mandate) {
+      if (led === news.mandate.term) return;
+      this.begin(news.mandate.term);
+    } else if (news.leader !== null && news.term > this.term) {
+      this.begin(news.term);
+    }
+    // Without a leader a grant goes on until its end: it was counted when it was given.
+  }
+
+  /** A new term: whatever we know of our workers is news to its leader. */
+  private begin(term: number): void {
+    this.term = term;
+    this.grantUntilMs = -Infinity;
+    this.echoMs = 0;
+    this.seq = 0;
+    this.homes = [];
+    this.heard.clear();
+    this.tellAll();
+    this.flush();
+  }
+
+  private tellAll(): void {
+    const now = this.o.clock.nowMs();
+    for (const [name, k] of this.known) {
+      if (now - k.heardMs < 4000 * this.o.reportS) this.changed.set(name, k);
+    }
+  }
+
+  private untilMs(): number {
+    return this.mandate ? this.mandate.ackUntilMs : this.grantUntilMs;
+  }
+
+  private granted(g: Grant): void {
+    const now = this.o.clock.nowMs();
+    // Only an answer to a question of this very process, in this term, and to a recent one.
+    if (this.mandate || g.term !== this.term || g.from !== this.leader || g.life !== this.o.life) return;
+    if (g.askMs > now || now - g.askMs > 10_000) return;
+    this.grantUntilMs = Math.max(this.grantUntilMs, g.askMs + g.forMs * (1 - 2 * DRIFT));
+    this.echoMs = Math.max(this.echoMs, g.stampMs);
+    this.homes = g.homes;
+    if (g.resync) {
+      this.tellAll();
+      this.flushSoon();
+    }
+  }
+
+  private report(report: Report, reply: (answer: Answer) => void): void {
+    const now = this.o.clock.nowMs();
+    if (now >= this.untilMs()) {
+      const elsewhere = this.mandate ? null : this.leader;
+      if (elsewhere === null || elsewhere === this.o.node) reply({ status: 503, body: {} });
+      else reply({ status: 421, body: encodeElsewhere(elsewhere) });
+      return;
+    }
+    if (report.token >= firstToken(this.term + 1)) {
+      // A later leader has spoken to it: a 200 from us would be dropped and hold the worker here.
+      this.grantUntilMs = -Infinity;
+      this.o.onLaterTerm(this.term);
+      reply({ status: 503, body: {} });
+      return;
+    }
+    const known = this.known.get(report.machine);
+    if (known && isLateCopy(known, report)) {
+      // Nobody waits for the answer, and it proves nothing: the worker sends one report at a time.
+      reply({ status: 503, body: {} });
+      return;
+    }
+    const other = this.lighter(known !== undefined);
+    if (other !== null) {
+      this.known.delete(report.machine);
+      reply({ status: 421, body: encodeElsewhere(other) });
+      return;
+    }
+    reply({ status: 200, body: encodeResponse(Math.max(firstToken(this.term), report.token), []) });
+    const same = known !== undefined && saysTheSame(known.report, report);
+    const entry = { report, session: report.session, tick: report.tick, heardMs: now };
+    this.known.set(report.machine, entry);
+    if (same && !this.changed.has(report.machine)) {
+      this.heard.set(report.machine, {
+        machine: report.machine,
+        session: report.session,
+        tick: report.tick,
+      });
+      if (this.mandate) this.flush();
+      return;
+    }
+    this.heard.delete(report.machine);
+    this.changed.set(report.machine, entry);
+    if (this.mandate) this.flush();
+    else this.flushSoon();
+  }
+
+  /** Another controller that this worker should go to; null: stay. */
+  private lighter(isKnown: boolean): string | null {
+    if (this.homes.length < 2) return null;
+    const lag = this.o.lagMs();
+    const slow = lag > SLOW_MS;
+    // Whoever is here stays, unless we fall behind: moving costs a report.
+    if (isKnown && !slow) return null;
+    const share = (node: string): number => (node === this.leader ? LEADER_SHARE : 1);
+    let total = 0;
+    let weight = 0;
+    let best: Grant["homes"][number] | null = null;
+    for (const h of this.homes) {
+      total += h.machines;
+      weight += share(h.node);
+      if (h.node === this.o.node || h.lagMs > SLOW_MS) continue;
+      if (!best || h.machines / share(h.node) < best.machines / share(best.node)) best = h;
+    }
+    const fair = total / weight;
+    const mine = this.homes.find((h) => h.node === this.o.node);
+    if (!best || !mine) return null;
+    const heavy = mine.machines > fair * share(mine.node) * 1.1 + 3;
+    const light = best.machines < fair * share(best.node) * 0.97;
+    if (slow ? lag < best.lagMs * 3 : !(heavy && light)) return null;
+    best.machines++;
+    mine.machines--;
+    return best.node;
+  }
+
+  private flushSoon(): void {
+    if (this.flushSet || this.stopped) return;
+    this.flushSet = true;
+    this.o.clock.after(GATHER_MS, () => this.tell({ kind: "flush" }));
+  }
+
+  private flush(): void {
+    if (this.stopped || this.leader === null || this.term === 0) return;
+    const now = this.o.clock.nowMs();
+    const reports: SeenReport[][] = [[]];
+    let tasks = 0;
+    for (const k of this.changed.values()) {
+      if (tasks + k.report.tasks.length > FRAME_TASKS) {
+        reports.push([]);
+        tasks = 0;
+      }
+      tasks += k.report.tasks.length + 5;
+      reports.at(-1)!.push({ ageMs: Math.max(0, Math.round(now - k.heardMs)), report: k.report });
+    }
+    this.changed.clear();
+    const heard = [...this.heard.values()];
+    this.heard.clear();
+    reports.forEach((part, i) => {
+      const last = i === reports.length - 1;
+      const serving: Serving = {
+        kind: "serving",
+        from: this.o.node,
+        term: this.term,
+        life: this.o.life,
+        seq: ++this.seq,
+        // All of it is told only with the last part.
+        echoMs: last ? this.echoMs : 0,
+        askMs: Math.floor(now),
+        machines: this.machines,
+        lagMs: Math.round(this.o.lagMs()),
+        heard: last ? heard : [],
+        reports: part,
+      };
+      if (this.mandate) this.o.toConductor(serving);
+      else if (this.leader !== null) this.o.toLeader(this.leader, serving);
+    });
+  }
+
+  private tick(): void {
+    if (this.stopped) return;
+    this.timer = this.o.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
+    const now = this.o.clock.nowMs();
+    this.machines = 0;
+    for (const [name, k] of this.known) {
+      if (now - k.heardMs > FORGET_MS) this.known.delete(name);
+      else if (now - k.heardMs < 2500 * this.o.reportS) this.machines++;
+    }
+    if (!this.mandate) this.flush();
+  }
+}
+
+/** Older than a report that the worker has sent since, or the same once more. Pure. */
+export function isLateCopy(known: { session: number; tick: number }, report: Report): boolean {
+  return report.session < known.session || (report.session === known.session && report.tick <= known.tick);
+}
+
+/** Does the newer report tell the leader nothing but that the worker lives? Pure. */
+export function saysTheSame(a: Report, b: Report): boolean {
+  if (a.session !== b.session || a.token !== b.token || (a.noticeS === null) !== (b.noticeS === null))
+    return false;
+  if (a.address !== b.address || a.tasks.length !== b.tasks.length) return false;
+  return a.tasks.every((t, i) => {
+    const u = b.tasks[i]!;
+    return t.phase === u.phase && t.task === u.task && t.jobId === u.jobId && t.attempt === u.attempt;
+  });
+}
--- a/src/coordination/reign.ts
+++ b/src/coordination/reign.ts
@@ -10,8 +10,13 @@
 import { Rounds } from "./magnet/rounds.js";
 import { Placer } from "./placer.js";
 import { Renter } from "./renter.js";
+import { Servers } from "./servers.js";
 import { Supervisor } from "./supervisor.js";
 
+/** A leader that is this far behind, for so long, hands over to one that is not. */
+const BEHIND_MS = 300;
+const BEHIND_FOR_MS = 3000;
+
 /** Everything that one term's leader knows, by the part that owns it. Thrown away whole with the term. */
 export class Reign {
   loaded = false;
@@ -20,10 +25,14 @@
   readonly machines = new Map<string, Machine>();
   readonly removed = new Set<string>();
   readonly usage: Usage;
+  readonly servers = new Servers();
   nextAttempt: number;
   private lastListMs = -Infinity;
   private lastTypesMs: number;
   private lastTallyMs = -Infinity;
+  private lastFullTallyMs = -Infinity;
+  private readonly tallied = new Map<Job, { done: number; running: number }>();
+  private behindSinceMs = Infinity;
   readonly startedMs: number;
   readonly attempts: Attempts;
   readonly archive: Archive;
@@ -83,19 +92,39 @@
     }
     if (now - this.lastTallyMs > 1000) {
       this.lastTallyMs = now;
-      this.tally();
+      this.tally(now);
     }
     if (!this.full()) return;
+    this.handOver(now);
     this.supervisor.superviseAll(now);
     if (now - this.rounds.lastRoundMs > operator.elapseS * 1000) this.rounds.round(now);
     this.placer.requestPass();
     if (this.archive.garbage.size > 0) this.archive.requestWrite(LAZY_WRITE_MS);
   }
 
-  private tally(): void {
+  /** A leader that can't keep up makes everybody wait; one that can takes over within a second. */
+  private handOver(now: number): void {
+    const lagMs = this.o.lagMs();
+    if (lagMs < BEHIND_MS) this.behindSinceMs = Infinity;
+    else if (this.behindSinceMs === Infinity) this.behindSinceMs = now;
+    if (now - this.behindSinceMs < BEHIND_FOR_MS || now - this.startedMs < 10_000) return;
+    if (this.servers.someoneFaster(lagMs, now)) this.o.onBehind(this.mandate.term);
+  }
+
+  /** What has changed since it was told last; now and then everything, for whoever has come in between. */
+  private tally(now: number): void {
+    if (now - this.lastFullTallyMs > 10_000) {
+      this.lastFullTallyMs = now;
+      this.tallied.clear();
+    }
     const jobs = [];
-    for (const job of this.jobs.values())
-      jobs.push({ id: job.id, done: job.doneCount, running: job.runningCount() });
-    this.o.onTally(this.mandate.term, jobs.slice(0, 2000));
+    for (const job of this.jobs.values()) {
+      const running = job.runningCount();
+      const told = this.tallied.get(job);
+      if (told && told.done === job.doneCount && told.running === running) continue;
+      this.tallied.set(job, { done: job.doneCount, running });
+      jobs.push({ id: job.id, done: job.doneCount, running });
+    }
+    for (let i = 0; i < jobs.length; i += 2000) this.o.onTally(this.mandate.term, jobs.slice(i, i + 2000));
   }
 }
--- /dev/null
+++ b/src/coordination/servers.ts
@@ -0,0 +1,105 @@
+import type { Grant, Serving } from "../protocol/peers.js";
+import { DRIFT, type ServerFacts } from "./fences.js";
+
+/** How long a controller may acknowledge reports without hearing from the leader again. */
+export const GRANT_MS = 2000;
+const MIN_GAP_MS = 250;
+
+interface Book extends ServerFacts {
+  life: number;
+  seq: number;
+  machines: number;
+  lagMs: number;
+  heardMs: number;
+  grantedMs: number;
+  resync: boolean;
+}
+
+/**
+ * What the leader knows of the controllers that acknowledge reports under its grants: until when they may, and up to
+ * when all that they have acknowledged is known here. Every proof by an elapsed lease asks it (rule `ran_twice`).
+ */
+export class Servers {
+  private readonly books = new Map<string, Book>();
+
+  /** What came in, in its order; a gap in it makes everything before this moment unknown. */
+  heard(s: Serving, nowMs: number): void {
+    let book = this.books.get(s.from);
+    if (!book) {
+      book = {
+        grantUntilMs: -Infinity,
+        // In this term it could acknowledge nothing before its first grant.
+        coveredMs: nowMs,
+        blindMs: -Infinity,
+        life: s.life,
+        seq: 0,
+        machines: 0,
+        lagMs: 0,
+        heardMs: nowMs,
+        grantedMs: -Infinity,
+        resync: false,
+      };
+      this.books.set(s.from, book);
+    }
+    if (book.life !== s.life || s.seq !== book.seq + 1) {
+      // A lost frame named acknowledgements that nobody will name again. A process that came back may have had
+      // untold ones as well, and its first frame may follow a grant to its forerunner.
+      if (book.grantUntilMs > -Infinity) book.blindMs = nowMs;
+      book.resync = book.resync || s.seq !== 1;
+    }
+    book.life = s.life;
+    book.seq = s.seq;
+    book.coveredMs = Math.max(book.coveredMs, Math.min(s.echoMs, nowMs));
+    book.machines = s.machines;
+    book.lagMs = s.lagMs;
+    book.heardMs = nowMs;
+  }
+
+  /** A new grant in answer to that frame, unless the last one is young. Never longer than we may act ourselves. */
+  grant(
+    s: Serving,
+    self: { node: string; machines: number; lagMs: number },
+    nowMs: number,
+    mandate: { ackUntilMs: number; fullUntilMs: number },
+  ): Grant | null {
+    const book = this.books.get(s.from);
+    const forMs = Math.floor(Math.min(GRANT_MS, mandate.ackUntilMs - nowMs));
+    if (!book || forMs <= 0 || (nowMs - book.grantedMs < MIN_GAP_MS && !book.resync)) return null;
+    book.grantedMs = nowMs;
+    // It counts from when it asked, which was before now.
+    book.grantUntilMs = Math.max(book.grantUntilMs, nowMs + forMs * (1 + 2 * DRIFT) + 10);
+    const { resync } = book;
+    book.resync = false;
+    const homes = [self];
+    for (const [node, b] of this.books) {
+      if (b.grantUntilMs > nowMs) homes.push({ node, machines: b.machines, lagMs: b.lagMs });
+    }
+    return {
+      kind: "grant",
+      from: self.node,
+      term: s.term,
+      life: s.life,
+      askMs: s.askMs,
+      forMs,
+      stampMs: Math.floor(nowMs),
+      served: nowMs < mandate.fullUntilMs,
+      resync,
+      homes,
+    };
+  }
+
+  wantAll(node: string): void {
+    const book = this.books.get(node);
+    if (book) book.resync = true;
+  }
+
+  facts(): Iterable<ServerFacts> {
+    return this.books.values();
+  }
+
+  /** Does any controller that we can hand over to keep up clearly better than we do? */
+  someoneFaster(lagMs: number, nowMs: number): boolean {
+    for (const b of this.books.values()) if (nowMs - b.heardMs < 1500 && b.lagMs * 3 < lagMs) return true;
+    return false;
+  }
+}
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -1,24 +1,33 @@
-import type { Report, ReportedTask } from "../protocol/model.js";
-import { encodeResponse } from "../protocol/workers.js";
+import type { Command, ErrandResult, Report, ReportedTask } from "../protocol/model.js";
+import type { Serving } from "../protocol/peers.js";
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
 import type { Machine } from "../bookkeeping/machines.js";
-import type { Answer } from "../transport/httpServer.js";
 import { log } from "../transport/log.js";
 import { writeLetter } from "./commands.js";
 import type { ConductorOptions } from "./conductor.js";
-import type { ErrandResult } from "./courier.js";
-import { absenceProves, firstToken, leaseOverMs } from "./fences.js";
+import { absenceProves, firstToken, leaseOverMs, silentFromMs } from "./fences.js";
 import type { Lore } from "./lore.js";
 import type { Reign } from "./reign.js";
-import { isIsolated } from "./strays.js";
 
+/** A machine that has to show that it hears us is asked this often. */
+const PROBE_MS = 1500;
+/** Ended tasks are reaped this often at the most, unless there is more to say. */
+const REAP_MS = 3000;
+/** Starts wait this long for a machine to show that it hears us; then they go elsewhere. */
+const HOLD_BACK_MS = 2500;
+/** An errand that another controller carries is given up after this. */
+const ERRAND_MS = 4500;
 /** A faulty machine that still holds work is tried again after this. */
 const FAULTY_MS = 90_000;
 
 /** Owns what is known of the machines: hears their reports, draws the conclusions, sends them their commands. */
 export class Supervisor {
-  private readonly errands = new Set<string>();
-  private readonly waiting = new Set<string>();
+  /** Errands on their way, and since when. */
+  private readonly errands = new Map<string, number>();
+  /** Machines with more to be told once their errand is back; true: under a higher token. */
+  private readonly waiting = new Map<string, boolean>();
+  /** Machines whose last errand got no answer: the next one goes from here. */
+  private readonly detour = new Set<string>();
 
   constructor(
     private readonly r: Reign,
@@ -26,44 +35,78 @@
     private readonly lore: Lore,
   ) {}
 
-  /** A report that we may acknowledge. */
-  reported(report: Report, reply: (answer: Answer) => void): void {
+  /** What a controller has acknowledged under our grant (or the gate beside us by our own mandate). */
+  served(s: Serving): void {
     const { r } = this;
     const now = this.o.clock.nowMs();
+    const local = s.from === this.o.platform.node;
+    if (!local) r.servers.heard(s, now);
+    for (const h of s.heard) {
+      const m = r.machines.get(h.machine);
+      if (m && m.session === h.session) this.acknowledged(m, h.session, h.tick, s.from, now, now);
+      else if (!r.removed.has(h.machine)) r.servers.wantAll(s.from);
+    }
+    for (const x of s.reports) this.reported(x.report, s.from, now, now - x.ageMs);
+    if (local) return;
+    const self = { node: this.o.platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
+    const grant = r.servers.grant(s, self, now, r.mandate);
+    if (grant) this.o.sendGrant(s.from, grant);
+  }
+
+  /** False for an older one, or a copy: it renews nothing and proves nothing. */
+  private acknowledged(
+    m: Machine,
+    session: number,
+    tick: number,
+    from: string,
+    nowMs: number,
+    heardMs: number,
+  ): boolean {
+    if (session < m.reportSession || (session === m.reportSession && tick <= m.reportTick)) return false;
+    m.reportSession = session;
+    m.reportTick = tick;
+    // It was acknowledged before now, and what it answers was sent before that.
+    m.lastAckMs = nowMs;
+    m.lastHeardMs = Math.max(m.lastHeardMs, heardMs);
+    m.server = from;
+    if (session === m.session && tick > m.tick) m.tick = tick;
+    return true;
+  }
+
+  private reported(report: Report, from: string, nowMs: number, heardMs: number): void {
+    const { r } = this;
     if (report.token >= firstToken(r.mandate.term + 1)) {
-      // A later leader has spoken to it: a 200 from us would be dropped and hold the worker here.
-      reply({ status: 503, body: {} });
       this.o.onDeposed(r.mandate.term);
       return;
     }
-    if (r.removed.has(report.machine)) {
-      reply({ status: 503, body: {} });
-      return;
-    }
+    if (r.removed.has(report.machine)) return;
     const m = r.machine(report.machine, report.zone);
-    const fresh = this.absorb(m, report);
-    m.lastAckMs = now;
-    m.lastHeardMs = now;
-    if (!r.loaded) {
-      // Keep its lease; what it has to do is known once the records are read.
-      reply({ status: 200, body: encodeResponse(m.token, []) });
-      return;
-    }
-    const raise = fresh ? this.digest(m) : false;
-    const letter = writeLetter(m, r.jobs, now, { starts: r.full() && fresh, raise, direct: false });
-    reply({ status: 200, body: encodeResponse(letter.token, letter.commands) });
+    // A machine that we have waited for, and its very first words: nothing older can be on its way.
+    const firstWords = m.state === "booting" && report.session === 1 && report.tick === 1;
+    const fresh = this.absorb(m, report, nowMs);
+    this.acknowledged(m, report.session, report.tick, from, nowMs, heardMs);
+    if (firstWords && m.bornMs >= r.startedMs) m.challenge = 0;
+    if (!r.loaded || !fresh) return;
+    this.conclude(m);
+  }
+
+  private conclude(m: Machine): void {
+    const raise = this.digest(m);
     if (m.noticeNew) {
       m.noticeNew = false;
       this.drainTaken(m);
     }
+    this.sendSoon(m, raise);
   }
 
   /** Takes over what a report says of the machine itself; false when a newer one is known. */
-  private absorb(m: Machine, report: Report): boolean {
+  private absorb(m: Machine, report: Report, now: number): boolean {
     if (report.session < m.session || (report.session === m.session && report.tick <= m.tick)) return false;
-    const now = this.o.clock.nowMs();
-    if (m.session > 0 && report.session > m.session)
+    if (m.session > 0 && report.session > m.session) {
       log.info(`${m.name}: session ${report.session}, its tasks are gone`);
+      // We hear it, and its lease ran out all the same: perhaps it doesn't hear us.
+      m.doubt();
+    }
     // A session's lease runs from its beginning, also when none of its reports was answered yet. Counted from an older
     // answer, a task started in the new session looked gone while it ran (rule `ran_twice`, docs/incidents/overload.md).
     if (report.session > m.session) m.lastAckMs = Math.max(m.lastAckMs, now);
@@ -103,11 +146,14 @@
   digest(m: Machine): boolean {
     const now = this.o.clock.nowMs();
     const floor = firstToken(this.r.mandate.term);
-    const listed = new Map<string, ReportedTask>();
-    for (const t of m.reported) listed.set(`${t.jobId}/${t.task}/${t.attempt}`, t);
+    const listed = new Map<Attempt, ReportedTask>();
+    for (const t of m.reported) {
+      const a = this.r.jobs.get(t.jobId)?.attemptOf(t.task);
+      if (a && a.attempt === t.attempt && a.machine === m) listed.set(a, t);
+    }
     let raise = false;
     for (const a of [...m.attempts]) {
-      const t = listed.get(`${a.job.id}/${a.task}/${a.attempt}`);
+      const t = listed.get(a);
       if (t) {
         if (t.phase === "exited") this.exited(a, t);
         else this.seen(a, t);
@@ -227,26 +273,35 @@
     }
   }
 
-  sendSoon(m: Machine): void {
+  /** Sends what the machine has to be told, if anything, as soon as nothing else is on its way to it. */
+  sendSoon(m: Machine, raise = false): void {
     if (m.state !== "up" || m.address === "") return;
     if (this.errands.has(m.name)) {
-      this.waiting.add(m.name);
+      this.waiting.set(m.name, raise || this.waiting.get(m.name) === true);
       return;
     }
-    if (!this.r.loaded || this.o.clock.nowMs() >= this.r.mandate.ackUntilMs) return;
+    const { r } = this;
     const now = this.o.clock.nowMs();
-    const letter = writeLetter(m, this.r.jobs, now, { starts: this.r.full(), raise: false, direct: true });
-    if (letter.commands.length === 0) return;
-    this.errands.add(m.name);
-    this.o.courier.tell({
-      kind: "send",
-      errand: {
-        machine: m.name,
-        address: m.address,
-        token: letter.token,
-        session: m.session,
-        commands: letter.commands,
-      },
+    if (!r.loaded || now >= r.mandate.ackUntilMs) return;
+    const letter = writeLetter(m, r.jobs, now, { starts: r.full() && m.hears, raise });
+    const probe = !m.hears && now - m.probedMs > PROBE_MS;
+    if (letter.commands.length === 0 && !raise && !probe) return;
+    // What has ended may be reaped in company.
+    if (!raise && !probe && now - m.probedMs < REAP_MS && letter.commands.every((c) => c.op === "reap"))
+      return;
+    m.probedMs = now;
+    this.send(m, letter.token, m.session, letter.commands);
+  }
+
+  private send(m: Machine, token: number, session: number, commands: Command[]): void {
+    this.errands.set(m.name, this.o.clock.nowMs());
+    const via = this.detour.delete(m.name) ? null : m.server;
+    this.o.errand(this.r.mandate.term, via, {
+      machine: m.name,
+      address: m.address,
+      token,
+      session,
+      commands,
     });
   }
 
@@ -256,47 +311,38 @@
    */
   seek(m: Machine): void {
     if (this.errands.has(m.name) || m.address === "") return;
-    this.errands.add(m.name);
-    const errand = { machine: m.name, address: m.address, token: m.token, session: 0, commands: [] };
-    this.o.courier.tell({ kind: "send", errand });
+    this.send(m, m.token, 0, []);
   }
 
   errandBack(result: ErrandResult): void {
-    const m = this.r.machines.get(result.errand.machine);
+    const { r } = this;
+    const m = r.machines.get(result.machine);
     if (!m) return;
+    const now = this.o.clock.nowMs();
     this.errands.delete(m.name);
     // An errand of an earlier term of ours may come back late: its token tells.
-    if (result.errand.token < firstToken(this.r.mandate.term)) return;
-    if (result.report && this.r.loaded) {
-      if (result.report.token >= firstToken(this.r.mandate.term + 1)) {
-        this.o.onDeposed(this.r.mandate.term);
+    if (result.token < firstToken(r.mandate.term)) return;
+    const raise = this.waiting.get(m.name);
+    this.waiting.delete(m.name);
+    if (result.report && r.loaded) {
+      if (result.report.token >= firstToken(r.mandate.term + 1)) {
+        this.o.onDeposed(r.mandate.term);
         return;
       }
-      const fresh = this.absorb(m, result.report);
-      m.lastHeardMs = this.o.clock.nowMs();
-      if (fresh) this.digest(m);
+      const fresh = this.absorb(m, result.report, now);
+      m.lastHeardMs = Math.max(m.lastHeardMs, now);
       if (result.status === 409 && fresh) {
         // Refused whole: the starts in it were not carried out, so they may go again at once.
         for (const a of m.attempts)
-          if (a.phase === null && a.sentToken === result.errand.token) a.sentMs = -Infinity;
-        this.waiting.add(m.name);
+          if (a.phase === null && a.sentToken === result.token) a.sentMs = -Infinity;
       }
+      if (fresh) this.conclude(m);
+      else this.sendSoon(m, raise);
+    } else if (result.status === null) {
+      // Sent, and no answer: it may not hear us. The next one goes another way, under a token that proves it does.
+      this.detour.add(m.name);
+      if (!result.neverSent) m.doubt();
     }
-    if (this.waiting.delete(m.name) && result.status !== null) this.sendSoon(m);
-  }
-
-  astray(machines: number): void {
-    const now = this.o.clock.nowMs();
-    let up = 0;
-    let heard = 0;
-    for (const m of this.r.machines.values()) {
-      if (m.state !== "up") continue;
-      up++;
-      if (now - m.lastHeardMs < 1000 * this.o.platform.reportS * 2.2) heard++;
-    }
-    if (!isIsolated({ astray: machines, up, heard, leadingMs: now - this.r.startedMs })) return;
-    log.info(`${machines} machines reach others, ${heard} of ${up} reach this node`);
-    this.o.onIsolated(this.r.mandate.term);
   }
 
   superviseAll(now: number): void {
@@ -321,10 +367,7 @@
         const boot = m.type?.bootS ?? 60;
         // Known only from a record, and silent since this term began: its lease proves the tasks gone, also those
         // whose start is still on its way, for that names a session that is over. The machine may yet come back.
-        if (
-          m.attempts.size > 0 &&
-          now >= leaseOverMs(Math.max(m.lastAckMs, this.r.mandate.othersSilentFromMs), platform.leaseS)
-        ) {
+        if (m.attempts.size > 0 && this.leaseIsOver(m, now)) {
           log.info(`${m.name}: not heard of in this term, its lease is over`);
           for (const a of [...m.attempts]) this.r.attempts.lost(a);
         }
@@ -335,12 +378,9 @@
         continue;
       }
       const silence = now - m.lastHeardMs;
-      if (m.attempts.size > 0) {
-        const ack = Math.max(m.lastAckMs, this.r.mandate.othersSilentFromMs);
-        if (now >= leaseOverMs(ack, platform.leaseS)) {
-          log.info(`${m.name}: silent for ${(silence / 1000).toFixed(1)} s, its lease is over`);
-          for (const a of [...m.attempts]) this.r.attempts.lost(a);
-        }
+      if (m.attempts.size > 0 && now - m.lastAckMs > platform.leaseS * 1000 && this.leaseIsOver(m, now)) {
+        log.info(`${m.name}: silent for ${(silence / 1000).toFixed(1)} s, its lease is over`);
+        for (const a of [...m.attempts]) this.r.attempts.lost(a);
       }
       const zone = zones.get(m.zone)!;
       const mass = zone.silent >= 3 && zone.silent * 2 > zone.up;
@@ -362,13 +402,46 @@
           this.r.fleet.remove(m, "idle");
         continue;
       }
-      for (const a of m.attempts) {
-        if (a.stop && now - a.stop.lastSentMs > 1500 && silence < 3000) {
-          this.sendSoon(m);
-          break;
-        }
+      this.remind(m, now, silence);
+    }
+    for (const [name, sinceMs] of this.errands) {
+      if (now - sinceMs < ERRAND_MS) continue;
+      this.errandBack({
+        machine: name,
+        token: firstToken(this.r.mandate.term),
+        status: null,
+        neverSent: false,
+        report: null,
+      });
+    }
+  }
+
+  private leaseIsOver(m: Machine, now: number): boolean {
+    const { r } = this;
+    // Nobody of an earlier term can have renewed it after `othersSilentFromMs`.
+    const lastMs = Math.max(m.lastAckMs, r.mandate.othersSilentFromMs);
+    if (now < leaseOverMs(lastMs, this.o.platform.leaseS)) return false;
+    return now >= silentFromMs(lastMs, r.servers.facts(), this.o.platform.leaseS);
+  }
+
+  /** Says again what has shown no effect yet. */
+  private remind(m: Machine, now: number, silence: number): void {
+    if (silence > 3000 || this.errands.has(m.name)) return;
+    let due = !m.hears && now - m.probedMs > PROBE_MS;
+    let raise = false;
+    for (const a of m.attempts) {
+      if (a.stop) due ||= now - a.stop.lastSentMs > 1500;
+      else if (a.phase === null && !a.inherited && a.sentToken >= 0 && now - a.sentMs > 1500) {
+        due = true;
+        // A session that the start doesn't name, or a token above it, tells what became of it.
+        raise ||= a.sentToken >= m.token && now - a.sentMs > 4000;
+      } else if (a.sentToken < 0 && !a.inherited && !m.hears && now - a.plannedMs > HOLD_BACK_MS) {
+        this.r.attempts.stopAttempt(a, 0);
+        break;
       }
     }
+    due ||= now - m.probedMs > REAP_MS && m.reported.some((t) => t.phase === "exited");
+    if (due) this.sendSoon(m, raise);
   }
 }
 
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -84,3 +84,34 @@
   phase: "starting" | "running" | "failed";
   ageS: number;
 }
+
+/** A report that was acknowledged and said nothing new. */
+export interface Heard {
+  machine: string;
+  session: number;
+  tick: number;
+}
+
+/** A report as another controller took it in, so long ago. */
+export interface SeenReport {
+  ageMs: number;
+  report: Report;
+}
+
+/** Commands on their way to a worker. */
+export interface Errand {
+  machine: string;
+  address: string;
+  token: number;
+  session: number;
+  commands: Command[];
+}
+
+export interface ErrandResult {
+  machine: string;
+  token: number;
+  /** Null: no answer, so it may be carried out at any later time. */
+  status: number | null;
+  neverSent: boolean;
+  report: Report | null;
+}
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -1,117 +1,307 @@
+import { Reader, Writer } from "./bytes.js";
+import type {
+  Command,
+  Errand,
+  ErrandResult,
+  ExitCause,
+  Heard,
+  Report,
+  ReportedTask,
+  SeenReport,
+  TaskPhase,
+} from "./model.js";
+
+/** Controllers of another version are refused: their frames may mean something else. */
+export const PEER_VERSION = 2;
+const MAGIC = "lichenturn";
+
+/** What a controller tells the leader of the workers that it serves; at the same time its request for a new grant. */
+export interface Serving {
+  kind: "serving";
+  from: string;
+  term: number;
+  /** Different in each process. */
+  life: number;
+  /** One more in each frame of this life and term: a gap means that acknowledgements went unheard. */
+  seq: number;
+  /** The leader's stamp in the last grant that came in: all acknowledgements up to then are told by now. */
+  echoMs: number;
+  /** Our own clock; comes back in the grant. */
+  askMs: number;
+  machines: number;
+  lagMs: number;
+  /** Workers that were acknowledged with nothing new to say. */
+  heard: Heard[];
+  /** Acknowledged reports that say something new. */
+  reports: SeenReport[];
+}
+
+/** The leader lets a controller acknowledge reports for a while. */
+export interface Grant {
+  kind: "grant";
+  from: string;
+  term: number;
+  life: number;
+  askMs: number;
+  forMs: number;
+  stampMs: number;
+  /** The state service serves the leader: a node that it refuses is alone with that. */
+  served: boolean;
+  /** Something went unheard: tell everything again. */
+  resync: boolean;
+  homes: { node: string; machines: number; lagMs: number }[];
+}
+
 /** What controllers say to each other, byte by byte: kind, sender, then the kind's own fields. */
 export type PeerMessage =
+  /** Opens every link. */
+  | { kind: "hello"; from: string; version: number }
   /** May the leader of this term go on acknowledging reports? */
   | { kind: "vouch?"; from: string; term: number; ask: number }
   | { kind: "vouch"; from: string; term: number; ask: number; yes: boolean }
   /** I lead this term: vouch for no earlier one from now on. */
   | { kind: "confirm?"; from: string; term: number }
   | { kind: "confirm"; from: string; term: number }
-  /** Counts for display only. */
+  /** Counts for display only; whatever is not named has not changed. */
   | { kind: "tally"; from: string; term: number; jobs: { id: string; done: number; running: number }[] }
-  /** A change to live jobs has been committed here: look now. */
-  | { kind: "nudge"; from: string }
-  /** These machines report to me, and I sent them to the leader. */
-  | { kind: "astray"; from: string; machines: number };
+  | Serving
+  | Grant
+  /** Carry these commands to workers. */
+  | { kind: "errands"; from: string; term: number; errands: Errand[] }
+  | { kind: "errands back"; from: string; term: number; results: ErrandResult[] };
 
-const KINDS: PeerMessage["kind"][] = ["vouch?", "vouch", "confirm?", "confirm", "tally", "nudge", "astray"];
+const KINDS: PeerMessage["kind"][] = [
+  "hello",
+  "vouch?",
+  "vouch",
+  "confirm?",
+  "confirm",
+  "tally",
+  "serving",
+  "grant",
+  "errands",
+  "errands back",
+];
+const PHASES: TaskPhase[] = ["fetching", "waiting", "running", "saving", "exited"];
+const CAUSES: (ExitCause | null)[] = [
+  null,
+  "done",
+  "stopped",
+  "peers",
+  "incomplete",
+  "error",
+  "no_room",
+  "in_use",
+  "unknown",
+  "other",
+];
+const OPS: Command["op"][] = ["start", "stop", "reap"];
 
-class Writer {
-  private parts: Buffer[] = [];
-  byte(n: number): this {
-    this.parts.push(Buffer.from([n]));
-    return this;
-  }
-  /** Six bytes: terms and asks stay far below 2^48. */
-  number(n: number): this {
-    const b = Buffer.allocUnsafe(6);
-    b.writeUIntBE(n, 0, 6);
-    this.parts.push(b);
-    return this;
-  }
-  text(s: string): this {
-    const b = Buffer.from(s, "utf8");
-    const length = Buffer.allocUnsafe(2);
-    length.writeUInt16BE(b.length, 0);
-    this.parts.push(length, b);
-    return this;
-  }
-  done(): Buffer {
-    return Buffer.concat(this.parts);
-  }
+/** Written into a frame with its place in a table; read back only when the table has it. */
+function pick<T>(table: T[], index: number): T {
+  if (index >= table.length) throw new RangeError("no such word");
+  return table[index]!;
 }
 
-class Reader {
-  private at = 0;
-  constructor(private readonly b: Buffer) {}
-  byte(): number {
-    return this.b.readUInt8(this.at++);
-  }
-  number(): number {
-    this.at += 6;
-    return this.b.readUIntBE(this.at - 6, 6);
-  }
-  text(): string {
-    const length = this.b.readUInt16BE(this.at);
-    this.at += 2 + length;
-    if (this.at > this.b.length) throw new RangeError("frame too short");
-    return this.b.toString("utf8", this.at - length, this.at);
-  }
+function writeTask(w: Writer, t: ReportedTask): void {
+  w.text(t.jobId).number(t.task).big(t.attempt).byte(PHASES.indexOf(t.phase)).byte(CAUSES.indexOf(t.cause));
+  w.byte(t.saved ? 1 : 0);
+}
+
+function readTask(r: Reader): ReportedTask {
+  return {
+    jobId: r.text(),
+    task: r.number(),
+    attempt: r.big(),
+    phase: pick(PHASES, r.byte()),
+    cause: pick(CAUSES, r.byte()),
+    saved: r.flag(),
+  };
+}
+
+function writeReport(w: Writer, x: Report): void {
+  w.text(x.machine)
+    .text(x.address)
+    .text(x.type)
+    .text(x.zone)
+    .byte(x.spot ? 1 : 0);
+  w.big(x.session).big(x.tick).big(x.token);
+  w.byte(x.noticeS === null ? 0 : 1);
+  if (x.noticeS !== null) w.number(Math.round(x.noticeS * 1000));
+  w.number(x.tasks.length);
+  for (const t of x.tasks) writeTask(w, t);
+}
+
+function readReport(r: Reader): Report {
+  return {
+    machine: r.text(),
+    address: r.text(),
+    type: r.text(),
+    zone: r.text(),
+    spot: r.flag(),
+    session: r.big(),
+    tick: r.big(),
+    token: r.big(),
+    noticeS: r.flag() ? r.number() / 1000 : null,
+    tasks: r.list(readTask),
+  };
+}
+
+function writeCommand(w: Writer, c: Command): void {
+  w.byte(OPS.indexOf(c.op)).text(c.jobId).number(c.task).big(c.attempt);
+  if (c.op === "stop") w.number(Math.round(c.graceS * 1000));
+}
+
+function readCommand(r: Reader): Command {
+  const op = pick(OPS, r.byte());
+  const base = { jobId: r.text(), task: r.number(), attempt: r.big() };
+  return op === "stop" ? { op, ...base, graceS: r.number() / 1000 } : { op, ...base };
 }
 
 export function encodePeer(message: PeerMessage): Buffer {
   const w = new Writer().byte(KINDS.indexOf(message.kind)).text(message.from);
   switch (message.kind) {
+    case "hello":
+      w.text(MAGIC).number(message.version);
+      break;
     case "vouch?":
-      return w.number(message.term).number(message.ask).done();
+      w.number(message.term).number(message.ask);
+      break;
     case "vouch":
-      return w
-        .number(message.term)
+      w.number(message.term)
         .number(message.ask)
-        .byte(message.yes ? 1 : 0)
-        .done();
+        .byte(message.yes ? 1 : 0);
+      break;
     case "confirm?":
     case "confirm":
-      return w.number(message.term).done();
+      w.number(message.term);
+      break;
     case "tally":
       w.number(message.term).number(message.jobs.length);
       for (const job of message.jobs) w.text(job.id).number(job.done).number(job.running);
-      return w.done();
-    case "nudge":
-      return w.done();
-    case "astray":
-      return w.number(message.machines).done();
+      break;
+    case "serving":
+      w.number(message.term).number(message.life).number(message.seq);
+      w.number(message.echoMs).number(message.askMs).number(message.machines).number(message.lagMs);
+      w.number(message.heard.length);
+      for (const h of message.heard) w.text(h.machine).big(h.session).big(h.tick);
+      w.number(message.reports.length);
+      for (const x of message.reports) writeReport(w.number(x.ageMs), x.report);
+      break;
+    case "grant":
+      w.number(message.term).number(message.life).number(message.askMs);
+      w.number(message.forMs).number(message.stampMs);
+      w.byte(message.served ? 1 : 0)
+        .byte(message.resync ? 1 : 0)
+        .number(message.homes.length);
+      for (const h of message.homes) w.text(h.node).number(h.machines).number(h.lagMs);
+      break;
+    case "errands":
+      w.number(message.term).number(message.errands.length);
+      for (const e of message.errands) {
+        w.text(e.machine).text(e.address).big(e.token).big(e.session).number(e.commands.length);
+        for (const c of e.commands) writeCommand(w, c);
+      }
+      break;
+    case "errands back":
+      w.number(message.term).number(message.results.length);
+      for (const x of message.results) {
+        w.text(x.machine)
+          .big(x.token)
+          .number(x.status ?? 0)
+          .byte(x.neverSent ? 1 : 0);
+        w.byte(x.report ? 1 : 0);
+        if (x.report) writeReport(w, x.report);
+      }
+      break;
   }
+  return w.done();
 }
 
-/** Null for anything that isn't one of our messages. */
+/** Null for anything that isn't exactly one of our messages. */
 export function decodePeer(frame: Buffer): PeerMessage | null {
   try {
     const r = new Reader(frame);
     const kind = KINDS[r.byte()];
     const from = r.text();
-    switch (kind) {
-      case "vouch?":
-        return { kind, from, term: r.number(), ask: r.number() };
-      case "vouch":
-        return { kind, from, term: r.number(), ask: r.number(), yes: r.byte() === 1 };
-      case "confirm?":
-      case "confirm":
-        return { kind, from, term: r.number() };
-      case "tally": {
-        const term = r.number();
-        const count = r.number();
-        const jobs = [];
-        for (let i = 0; i < count; i++) jobs.push({ id: r.text(), done: r.number(), running: r.number() });
-        return { kind, from, term, jobs };
-      }
-      case "nudge":
-        return { kind, from };
-      case "astray":
-        return { kind, from, machines: r.number() };
-      default:
-        return null;
-    }
+    const message = kind === undefined ? null : read(kind, from, r);
+    r.end();
+    return message;
   } catch {
     return null;
   }
 }
+
+function read(kind: PeerMessage["kind"], from: string, r: Reader): PeerMessage | null {
+  switch (kind) {
+    case "hello":
+      return r.text() === MAGIC ? { kind, from, version: r.number() } : null;
+    case "vouch?":
+      return { kind, from, term: r.number(), ask: r.number() };
+    case "vouch":
+      return { kind, from, term: r.number(), ask: r.number(), yes: r.flag() };
+    case "confirm?":
+    case "confirm":
+      return { kind, from, term: r.number() };
+    case "tally":
+      return {
+        kind,
+        from,
+        term: r.number(),
+        jobs: r.list(() => ({ id: r.text(), done: r.number(), running: r.number() })),
+      };
+    case "serving":
+      return {
+        kind,
+        from,
+        term: r.number(),
+        life: r.number(),
+        seq: r.number(),
+        echoMs: r.number(),
+        askMs: r.number(),
+        machines: r.number(),
+        lagMs: r.number(),
+        heard: r.list(() => ({ machine: r.text(), session: r.big(), tick: r.big() })),
+        reports: r.list(() => ({ ageMs: r.number(), report: readReport(r) })),
+      };
+    case "grant":
+      return {
+        kind,
+        from,
+        term: r.number(),
+        life: r.number(),
+        askMs: r.number(),
+        forMs: r.number(),
+        stampMs: r.number(),
+        served: r.flag(),
+        resync: r.flag(),
+        homes: r.list(() => ({ node: r.text(), machines: r.number(), lagMs: r.number() })),
+      };
+    case "errands":
+      return {
+        kind,
+        from,
+        term: r.number(),
+        errands: r.list(() => ({
+          machine: r.text(),
+          address: r.text(),
+          token: r.big(),
+          session: r.big(),
+          commands: r.list(readCommand),
+        })),
+      };
+    case "errands back":
+      return {
+        kind,
+        from,
+        term: r.number(),
+        results: r.list(() => ({
+          machine: r.text(),
+          token: r.big(),
+          status: r.number() || null,
+          neverSent: r.flag(),
+          report: r.flag() ? readReport(r) : null,
+        })),
+      };
+  }
+}
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,16 +1,18 @@
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { keys } from "./bookkeeping/records.js";
+import { JobFeed } from "./bookkeeping/jobFeed.js";
 import { StateClient } from "./bookkeeping/stateClient.js";
 import { Admission } from "./coordination/admission.js";
 import { CloudDesk } from "./coordination/cloudDesk.js";
 import { Conductor } from "./coordination/conductor.js";
 import { Courier } from "./coordination/courier.js";
+import { Dispatch } from "./coordination/dispatch.js";
 import { Elector } from "./coordination/election.js";
-import { Strays } from "./coordination/strays.js";
+import { Gate } from "./coordination/gate.js";
 import { parseJson } from "./protocol/checks.js";
 import { decodeTypes } from "./protocol/cloud.js";
-import { decodePeer, encodePeer, type PeerMessage } from "./protocol/peers.js";
+import { decodePeer, encodePeer, PEER_VERSION, type PeerMessage } from "./protocol/peers.js";
 import { route } from "./protocol/users.js";
 import { decodeReport } from "./protocol/workers.js";
 import type { Operator } from "./settings/operator.js";
@@ -19,6 +21,7 @@
 import type { HttpCaller } from "./transport/httpClient.js";
 import { HttpClient } from "./transport/httpClient.js";
 import { startHttpServer, type Answer, type Incoming } from "./transport/httpServer.js";
+import { LagMeter } from "./transport/lag.js";
 import { log } from "./transport/log.js";
 import { PeerLinks, type PeerPort } from "./transport/peerLink.js";
 
@@ -48,11 +51,12 @@
   readonly conductor: Conductor;
   readonly admission: Admission;
   private readonly cloud: CloudDesk;
-  private readonly strays: Strays;
+  private readonly gate: Gate;
+  private readonly dispatch: Dispatch;
+  private readonly lag: LagMeter;
   private typesKnown = false;
-  private leader: string | null = null;
   private inFlight = 0;
-  private lastTallyMs = -Infinity;
+  private leaderServedMs = -Infinity;
   private stopped = false;
 
   constructor(
@@ -61,36 +65,46 @@
     private readonly out: Outside,
   ) {
     const { clock } = out;
-    const send = (peer: string, message: PeerMessage): void => out.peers.send(peer, encodePeer(message));
+    const send = (peer: string, message: PeerMessage): boolean => out.peers.send(peer, encodePeer(message));
     this.state = new StateClient(out.state, clock, platform.state, {
       rps: platform.stateRps,
       writeRps: platform.stateWriteRps,
       nodes: platform.size,
     });
+    this.lag = new LagMeter(clock);
+    // All nodes' reads for questions together take less than half of what the service serves.
+    const feed = new JobFeed(this.state, clock, (1000 * platform.size) / (platform.stateRps * 0.45));
     this.admission = new Admission({
       state: this.state,
+      feed,
       clock,
       teams: platform.teams,
-      zones: platform.zones,
       valueBytes: platform.stateValueKb * 1024,
-      onChange: () => undefined,
     });
     this.cloud = new CloudDesk(out.cloud, clock, platform.cloud, platform.cloudRps, (news) =>
       this.conductor.tell({ kind: "cloud", news }),
     );
-    const courier = new Courier(out.workers, DIRECT_MS, (result) =>
-      this.conductor.tell({ kind: "errand", result }),
+    this.dispatch = new Dispatch(
+      platform.node,
+      clock,
+      new Courier(out.workers, DIRECT_MS),
+      send,
+      (term, result) => this.conductor.tell({ kind: "errand", term, result }),
     );
     const others = platform.peers.map((p) => p.name);
+    const lagMs = (): number => this.lag.lagMs;
     this.conductor = new Conductor({
       platform,
       operator,
       state: this.state,
       clock,
       cloud: this.cloud,
-      courier,
+      errand: (term, via, errand) => this.dispatch.errand(term, via, errand),
+      sendGrant: send,
+      served: () => this.gate.served,
+      lagMs,
       onDeposed: (term) => this.elector.tell({ kind: "deposed", term }),
-      onIsolated: (term) => this.elector.tell({ kind: "isolated", term }),
+      onBehind: (term) => this.elector.tell({ kind: "behind", term }),
       onTypes: (types) => {
         this.typesKnown = true;
         this.admission.tell({ kind: "types", types });
@@ -100,6 +114,16 @@
         for (const peer of others) send(peer, { kind: "tally", from: platform.node, term, jobs });
       },
     });
+    this.gate = new Gate({
+      node: platform.node,
+      life: Math.floor(out.random() * 2 ** 47),
+      clock,
+      reportS: platform.reportS,
+      toLeader: send,
+      toConductor: (serving) => this.conductor.tell({ kind: "serving", serving }),
+      onLaterTerm: (term) => this.elector.tell({ kind: "deposed", term }),
+      lagMs,
+    });
     this.elector = new Elector({
       node: platform.node,
       life: out.life,
@@ -111,25 +135,27 @@
       ttlMs: HOLD_MS,
       probeMs: PROBE_MS,
       onNews: (news) => {
-        this.leader = news.leader;
+        // The conductor first: the gate tells it of its workers at once.
         this.conductor.tell({ kind: "election", news });
+        this.gate.tell({ kind: "election", news });
       },
     });
-    this.strays = new Strays(clock, platform.reportS, (leader, machines) =>
-      send(leader, { kind: "astray", from: platform.node, machines }),
-    );
   }
 
   start(): void {
+    this.lag.start();
     this.elector.start();
     this.conductor.start();
+    this.gate.start();
     this.learnTypes(0);
   }
 
   stop(): void {
     this.stopped = true;
+    this.lag.stop();
     this.elector.stop();
     this.conductor.stop();
+    this.gate.stop();
     this.cloud.tell({ kind: "stop" });
   }
 
@@ -144,18 +170,58 @@
     });
   }
 
-  onPeer(frame: Buffer): void {
-    const message = decodePeer(frame);
-    if (!message) return;
-    if (message.kind === "tally") {
-      this.lastTallyMs = this.out.clock.nowMs();
-      this.admission.tell({ kind: "tally", jobs: message.jobs });
-    } else if (message.kind === "astray") this.conductor.tell({ kind: "astray", machines: message.machines });
-    else this.elector.tell({ kind: "peer", message });
+  /** A link that comes in: gives what takes its frames, and says why to close it when one is not in order. */
+  onLink(): (frame: Buffer) => string | null {
+    let peer: string | null = null;
+    return (frame) => {
+      const message = decodePeer(frame);
+      if (!message) return "not a frame of ours";
+      if (peer === null) {
+        if (message.kind !== "hello") return "no greeting";
+        if (message.version !== PEER_VERSION)
+          return `${message.from} speaks version ${message.version}, this node ${PEER_VERSION}`;
+        if (!this.platform.peers.some((p) => p.name === message.from)) return `${message.from} is no peer`;
+        peer = message.from;
+        return null;
+      }
+      if (message.from !== peer) return `${peer} speaks for ${message.from}`;
+      this.onPeer(message);
+      return null;
+    };
+  }
+
+  private onPeer(message: PeerMessage): void {
+    switch (message.kind) {
+      case "hello":
+        break;
+      case "tally":
+        this.admission.tell({ kind: "tally", jobs: message.jobs });
+        break;
+      case "serving":
+        this.conductor.tell({ kind: "serving", serving: message });
+        break;
+      case "grant":
+        if (message.served) this.leaderServedMs = this.out.clock.nowMs();
+        this.gate.tell({ kind: "grant", grant: message });
+        break;
+      case "errands":
+        this.dispatch.asked(message.from, message.term, message.errands);
+        break;
+      case "errands back":
+        for (const result of message.results)
+          this.conductor.tell({ kind: "errand", term: message.term, result });
+        break;
+      default:
+        this.elector.tell({ kind: "peer", message });
+    }
   }
 
-  onPeerRefused(peer: string): void {
-    this.elector.tell({ kind: "refused", peer });
+  /**
+   * A peer's host refuses links. Alone among others that stand, its process is probably over; when all links are
+   * refused at once, it is the links.
+   */
+  onPeerRefused(peer: string, standing: number): void {
+    if (standing > 0 || this.platform.peers.length === 1) this.elector.tell({ kind: "refused", peer });
   }
 
   /** Ready when requests can be decided here. In an outage that hits everybody, turning users away helps nobody. */
@@ -164,7 +230,7 @@
     const now = this.out.clock.nowMs();
     const refused =
       this.state.lastRefusedMs > this.state.lastServedSentMs && now - this.state.lastServedSentMs > 1500;
-    const othersServed = now - this.lastTallyMs < 2500;
+    const othersServed = now - this.leaderServedMs < 2500;
     return !(refused && othersServed);
   }
 
@@ -177,9 +243,7 @@
           reply({ status: 400, body: { error: "not a report" } });
           return;
         }
-        if (this.leader !== null && this.leader !== this.platform.node)
-          this.strays.seen(report.machine, this.leader);
-        this.conductor.tell({ kind: "report", report, reply });
+        this.gate.tell({ kind: "report", report, reply });
         return;
       }
       case "ready":
@@ -225,16 +289,17 @@
   const cloudHttp = new HttpClient(4);
   const workerHttp = new HttpClient(2);
   const onError = (error: Error): void => log.error(String(error.stack ?? error));
-  let controller: Controller | null = null;
   const links = new PeerLinks({
     listen: platform.peerListen,
     peers: platform.peers,
     clock,
-    onFrame: (frame) => controller?.onPeer(frame),
-    onRefused: (peer) => controller?.onPeerRefused(peer),
+    greeting: encodePeer({ kind: "hello", from: platform.node, version: PEER_VERSION }),
+    onLink: () => running.onLink(),
+    onRefused: (peer, standing) => running.onPeerRefused(peer, standing),
+    onBadLink: (reason) => log.error(reason),
     onError,
   });
-  controller = new Controller(platform, operator, {
+  const running: Controller = new Controller(platform, operator, {
     clock,
     state: stateHttp,
     cloud: cloudHttp,
@@ -243,7 +308,6 @@
     life: randomBytes(8).toString("hex"),
     random: Math.random,
   });
-  const running = controller;
   await links.start();
   const server: Server = await startHttpServer({
     listen: platform.listen,
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -33,18 +33,21 @@
 }
 
 export interface PeerPort {
-  /** Sends if there is a link; a peer that can't be reached just misses the message. */
-  send(peer: string, payload: Buffer): void;
+  /** Sends if there is a link, and says whether; a peer that can't be reached just misses the message. */
+  send(peer: string, payload: Buffer): boolean;
 }
 
 export interface PeerLinkOptions {
   listen: string;
   peers: { name: string; address: string }[];
   clock: Clock;
-  /** Frames carry their sender's name inside; the link itself vouches for nothing. */
-  onFrame: (payload: Buffer) => void;
-  /** A link that stood has closed, and the peer's host refuses a new one: its process is probably over. */
-  onRefused: (peer: string) => void;
+  /** The first frame on each of our links. */
+  greeting: Buffer;
+  /** Called for each link that comes in; what it returns takes the frames, and gives a reason to close the link. */
+  onLink: () => (payload: Buffer) => string | null;
+  /** A link that stood has closed, and the peer's host refuses a new one; so many other links stand. */
+  onRefused: (peer: string, standing: number) => void;
+  onBadLink: (reason: string) => void;
   onError: (error: Error) => void;
 }
 
@@ -71,11 +74,12 @@
     });
   }
 
-  send(peer: string, payload: Buffer): void {
+  send(peer: string, payload: Buffer): boolean {
     const socket = this.out.get(peer);
     // A link that doesn't drain belongs to a silent peer: late vouching is worth nothing, so drop.
-    if (!socket || socket.writableLength > 4 * MAX_FRAME) return;
+    if (!socket || payload.length > MAX_FRAME || socket.writableLength > 4 * MAX_FRAME) return false;
     socket.write(frame(payload));
+    return true;
   }
 
   close(): void {
@@ -97,11 +101,12 @@
     socket.on("connect", () => {
       socket.setTimeout(0);
       stood = true;
+      socket.write(frame(this.options.greeting));
       this.out.set(peer.name, socket);
     });
     socket.on("data", () => undefined);
     socket.on("error", (error: NodeJS.ErrnoException) => {
-      if (afterLoss && error.code === "ECONNREFUSED") this.options.onRefused(peer.name);
+      if (afterLoss && error.code === "ECONNREFUSED") this.options.onRefused(peer.name, this.out.size);
     });
     socket.on("close", () => {
       if (this.out.get(peer.name) === socket) this.out.delete(peer.name);
@@ -115,20 +120,29 @@
 
   private read(socket: net.Socket): void {
     const reader = new FrameReader();
+    const take = this.options.onLink();
+    const refuse = (reason: string): void => {
+      this.options.onBadLink(`link from ${socket.remoteAddress ?? "somewhere"} closed: ${reason}`);
+      socket.destroy();
+    };
     socket.setNoDelay(true);
     socket.on("error", () => undefined);
     socket.on("data", (part: Buffer) => {
       const frames = reader.push(part);
       if (!frames) {
-        socket.destroy();
+        refuse("a frame longer than any of ours");
         return;
       }
       for (const payload of frames) {
+        let reason: string | null;
         try {
-          this.options.onFrame(payload);
+          reason = take(payload);
         } catch (error) {
           this.options.onError(error as Error);
-          socket.destroy();
+          reason = "a frame that could not be dealt with";
+        }
+        if (reason !== null) {
+          refuse(reason);
           return;
         }
       }
