--- a/src/bookkeeping/ledger.ts
+++ b/src/bookkeeping/ledger.ts
@@ -24,6 +24,8 @@
 
 export interface LedgerLimits {
   changes: number;
+  /** Of these, for results that can wait. */
+  lazy: number;
   bytes: number;
 }
 
@@ -103,7 +105,7 @@
     t.parts.push({ job, chunk: null, attempts: [], done: null });
     bytes += 400 + now.length * 120;
   }
-  for (const [job, chunk] of lazy) if (!addChunk(job, chunk)) break;
+  for (const [job, chunk] of lazy.slice(0, limits.lazy)) if (!addChunk(job, chunk)) break;
   for (const [key, version] of garbage) {
     if (t.changes.length >= Math.max(1, limits.changes >> 1) || !fits(1, 120)) break;
     t.guards.push({ key, version });
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -30,6 +30,7 @@
    * asks for one of its own term, so that a late copy of a report brings back no machine.
    */
   challenge: number;
+  doubtedMs = -Infinity;
   probedMs = -Infinity;
   /** When we last learned that a report of it was answered, or that it began a session; its lease began no later. */
   lastAckMs = -Infinity;
@@ -43,6 +44,8 @@
   cordonUntilMs = Infinity;
   idleSinceMs: number | null;
   readonly attempts = new Set<Attempt>();
+  /** Counts whatever changes its room or its images. */
+  changes = 0;
   reported: ReportedTask[] = [];
   /** Images it has or is fetching, most recently used last; sizes in GB. */
   readonly images = new Map<string, number>();
@@ -72,12 +75,14 @@
   }
 
   /** What we sent got no answer: it has to show a token that it can only have from us, from now on. */
-  doubt(): void {
+  doubt(nowMs: number): void {
+    if (this.hears) this.doubtedMs = nowMs;
     this.token = Math.max(this.token, this.startToken) + 1;
     this.challenge = this.token;
   }
 
   attach(attempt: Attempt): void {
+    this.changes++;
     this.attempts.add(attempt);
     const spec = attempt.job.spec;
     this.used.cpus += spec.cpus;
@@ -89,6 +94,7 @@
 
   detach(attempt: Attempt, nowMs: number): void {
     if (!this.attempts.delete(attempt)) return;
+    this.changes++;
     const spec = attempt.job.spec;
     this.used.cpus -= spec.cpus;
     this.used.gpus -= spec.gpus;
@@ -124,12 +130,13 @@
   }
 
   imageReady(image: string): void {
-    this.fetching.delete(image);
+    if (this.fetching.delete(image)) this.changes++;
   }
 
   /** No task waits for the image any more: the worker has given the fetch up. */
   imageGivenUp(image: string): void {
     if (this.fetching.delete(image)) this.images.delete(image);
+    this.changes++;
   }
 
   /** A new session has forgotten tasks; images may be gone as well, but mostly aren't. */
--- a/src/coordination/archive.ts
+++ b/src/coordination/archive.ts
@@ -4,13 +4,17 @@
 import { composeTransaction, type Garbage, type Transaction } from "../bookkeeping/ledger.js";
 import { decodeChunk, decodeFinal, decodeHead, keys } from "../bookkeeping/records.js";
 import type { CommitOutcome, Item, ListOutcome, WatchOutcome } from "../bookkeeping/stateClient.js";
+import type { Timer } from "../transport/clock.js";
 import { log } from "../transport/log.js";
 import { newStop } from "./attempts.js";
 import type { ConductorOptions } from "./conductor.js";
 import type { Lore } from "./lore.js";
 import type { Reign } from "./reign.js";
 
-export const LAZY_WRITE_MS = 400;
+/** Results wait so long for company: what needs them sooner, the end of their job, is written at once. */
+export const LAZY_WRITE_MS = 3000;
+/** Changes in a second that results leave to others. */
+const LAZY_ROOM = 8;
 const WATCH_MS = 20_000;
 
 /** Owns the term's records: reads them when the term begins, watches them, writes what changes. */
@@ -18,7 +22,8 @@
   private revision = 0;
   readonly garbage: Garbage = new Map();
   private writing = false;
-  private writeSet = false;
+  private writeAtMs = Infinity;
+  private timer: Timer | null = null;
   typesVersion = 0;
   typesDirty = false;
   private movesVersion = 0;
@@ -96,6 +101,8 @@
       return;
     }
     const ageMs = Math.max(0, this.o.clock.today().getTime() - head.acceptedAt.getTime());
+    this.r.jobsVersion++;
+    this.lore.profile(head.spec);
     this.r.jobs.set(id, Job.fromHead(head, item.version, this.o.clock.nowMs() - ageMs));
   }
 
@@ -169,19 +176,19 @@
     this.r.placer.requestPass();
   }
 
+  /** Sees to it that what waits is written within this time. */
   requestWrite(delayMs: number): void {
-    if (this.writing || (this.writeSet && delayMs > 0)) return;
+    const atMs = this.o.clock.nowMs() + delayMs;
+    if (this.writing || atMs >= this.writeAtMs) return;
+    this.writeAtMs = atMs;
+    this.timer?.cancel();
     const { term } = this.r.mandate;
-    if (delayMs === 0) {
-      this.o.tell({ kind: "write", term });
-      return;
-    }
-    this.writeSet = true;
-    this.o.clock.after(delayMs, () => this.o.tell({ kind: "write", term }));
+    if (delayMs === 0) this.o.tell({ kind: "write", term });
+    else this.timer = this.o.clock.after(delayMs, () => this.o.tell({ kind: "write", term }));
   }
 
   writeNow(): void {
-    this.writeSet = false;
+    this.writeAtMs = Infinity;
     this.write();
   }
 
@@ -193,7 +200,12 @@
       this.requestWrite(Math.max(10, state.writeWaitMs(1)));
       return;
     }
-    const limits = { changes: Math.min(platform.stateTxnOps, Math.max(room, 4)), bytes: 60 * 1024 };
+    const limits = {
+      changes: Math.min(platform.stateTxnOps, Math.max(room, 4)),
+      // Results leave room for starts, and for what other controllers accept.
+      lazy: Math.max(1, room - LAZY_ROOM),
+      bytes: 60 * 1024,
+    };
     const t = composeTransaction(this.r.jobs.values(), this.garbage, this.r.mandate.termVersion, limits);
     if (this.r.rounds.moves && t.changes.length < limits.changes) {
       // A round's moves go in one write, before any of them begins.
@@ -286,6 +298,7 @@
       const key = keys.chunk(job.id, c.index);
       if (c.version > 0 && !dropped.has(key)) this.garbage.set(key, c.version);
     }
+    this.r.jobsVersion++;
     this.r.jobs.delete(job.id);
     this.r.rounds.prefer.delete(job.id);
   }
--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -30,6 +30,7 @@
   }
 
   stopAttempt(a: Attempt, graceS: number): void {
+    a.machine.changes++;
     if (a.stop) {
       if (graceS < a.stop.graceS) a.stop = newStop(this.r.o.clock.nowMs(), graceS);
       else return;
@@ -52,6 +53,7 @@
 
   cancelJob(job: Job): void {
     job.cancelled = true;
+    this.r.jobsVersion++;
     for (const a of [...job.attempts]) this.stopAttempt(a, 0);
     if (job.over) this.r.archive.requestWrite(0);
   }
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -10,7 +10,8 @@
 }
 
 export interface FleetInput {
-  unplaced: { job: JobView; tasks: number }[];
+  /** A gang's rest is wanted in that zone. */
+  unplaced: { job: JobView; tasks: number; zone: string | null }[];
   types: MachineType[];
   /** Machines on their way, rented or asked for. */
   coming: MachineView[];
@@ -35,7 +36,7 @@
   const wishes = new Map<string, RentWish>();
   const virtual = [...input.coming];
   let machines = 0;
-  for (const { job, tasks } of input.unplaced) {
+  for (const { job, tasks, zone: only } of input.unplaced) {
     const { spec } = job;
     const zones = new Map(job.zones);
     let left = tasks;
@@ -48,7 +49,7 @@
     };
     for (const m of virtual) {
       if (left <= 0) break;
-      if (spec.gpus === 0 && m.claim) continue;
+      if ((spec.gpus === 0 && m.claim) || (only !== null && m.zone !== only)) continue;
       if (allows(spec, m.type.name, m.zone, m.spot) && fits(spec, m.free)) put(m);
     }
     const cheapest = ordinaryPrice(spec, input.types);
@@ -59,6 +60,7 @@
         const holds = howMany(spec, whole);
         if (holds <= 0) continue;
         for (const zone of type.zones) {
+          if (only !== null && zone !== only) continue;
           const room = zoneRoom(spec, zones, zone);
           if (room <= 0) continue;
           for (const spot of spec.spot ? [true, false] : [false]) {
--- a/src/coordination/lore.ts
+++ b/src/coordination/lore.ts
@@ -1,4 +1,3 @@
-import type { Job } from "../bookkeeping/jobs.js";
 import type { JobSpec, MachineType } from "../protocol/model.js";
 import { Learner } from "./learning.js";
 import type { Claim } from "./views.js";
@@ -8,6 +7,8 @@
   types: MachineType[] = [];
   typesKnown = false;
   readonly learner = new Learner();
+  /** Counts changes of what `claimOn` answers. */
+  claims = 0;
   private readonly gpuClasses = new Map<string, JobSpec>();
 
   constructor(readonly controllerZones: Set<string>) {}
@@ -27,9 +28,9 @@
   }
 
   /** Remembers what work with accelerators looks like, class by class. */
-  profile(job: Job): void {
-    const { spec } = job;
+  profile(spec: JobSpec): void {
     if (spec.gpus <= 0 || this.gpuClasses.has(spec.className)) return;
+    this.claims++;
     this.gpuClasses.set(spec.className, spec);
   }
 
--- a/src/coordination/magnet/rounds.ts
+++ b/src/coordination/magnet/rounds.ts
@@ -4,7 +4,7 @@
 import type { Reign } from "../reign.js";
 import { allows, zoneRoom } from "../views.js";
 import { release, type MeasuredMachine } from "./release.js";
-import { loadOf } from "./rings.js";
+import { loadOf, ringOf } from "./rings.js";
 import { squeeze, type LoadedTask, type Move } from "./squeeze.js";
 
 /** Owns the magnet's rounds: their moves from the decision, through the write, to the stops. */
@@ -29,6 +29,9 @@
     const machines: MeasuredMachine[] = [];
     for (const m of this.r.machines.values()) {
       if (m.state !== "up" || !m.type) continue;
+      const requested = loadOf(m.used, m.type);
+      // Most machines are in the inner rings and use what they were asked to: neither squeeze nor release looks there.
+      if (ringOf(requested, degrad) !== "outer" && m.reported.length <= m.attempts.size) continue;
       // A late report would move tasks that have already left.
       const fresh = now - m.lastHeardMs < this.o.platform.reportS * 1500;
       const tasks: LoadedTask[] = [];
@@ -67,7 +70,7 @@
         tasks,
         open: whole && !m.cordoned && m.takenAtMs === null,
         measured: loadOf(measuredUse, m.type),
-        requested: loadOf(m.used, m.type),
+        requested,
       });
     }
     const moves = squeeze(machines, { degrad, moveCap });
--- a/src/coordination/magnet/squeeze.ts
+++ b/src/coordination/magnet/squeeze.ts
@@ -26,6 +26,15 @@
   to: string;
 }
 
+interface Loaded {
+  m: LoadedMachine;
+  load: number;
+}
+
+function lighter(a: Loaded, b: Loaded): number {
+  return a.load - b.load || (a.m.name < b.m.name ? -1 : 1);
+}
+
 export interface SqueezeLimits {
   degrad: number;
   moveCap: number;
@@ -48,23 +57,29 @@
  */
 export function squeeze(machines: LoadedMachine[], limits: SqueezeLimits): Move[] {
   const moves: Move[] = [];
-  const state = machines.map((m) => ({ ...m, tasks: [...m.tasks] }));
-  const skipped = new Set<string>();
-  for (;;) {
-    const outer = state
-      .filter((m) => m.tasks.length > 0 && !skipped.has(m.name))
-      .map((m) => ({ m, load: loadOf(used(m), m.total) }))
-      .filter((x) => ringOf(x.load, limits.degrad) === "outer")
-      .sort((a, b) => a.load - b.load || (a.m.name < b.m.name ? -1 : 1));
-    const [first, second] = outer;
-    if (!first || !second) return moves;
-    const done = [
-      [first.m, second.m],
-      [second.m, first.m],
-    ].some(([from, to]) => merge(from!, to!));
-    // What can't be emptied is no partner for the next lightest either.
-    if (!done) skipped.add(first.m.name);
+  const outer = machines
+    .map((m) => ({ ...m, tasks: [...m.tasks] }))
+    .map((m) => ({ m, load: loadOf(used(m), m.total) }))
+    .filter((x) => x.m.tasks.length > 0 && ringOf(x.load, limits.degrad) === "outer")
+    .sort(lighter);
+  while (outer.length >= 2 && moves.length < limits.moveCap) {
+    const [first, second] = outer as [Loaded, Loaded];
+    if (merge(first.m, second.m))
+      outer.splice(0, 2, { m: second.m, load: loadOf(used(second.m), second.m.total) });
+    else if (merge(second.m, first.m))
+      outer.splice(0, 2, { m: first.m, load: loadOf(used(first.m), first.m.total) });
+    else {
+      // What can't be emptied is no partner for the next lightest either.
+      outer.shift();
+      continue;
+    }
+    // The merged machine takes its place among the others, if it is still in their ring.
+    const [merged] = outer.splice(0, 1) as [Loaded];
+    if (ringOf(merged.load, limits.degrad) !== "outer") continue;
+    const at = outer.findIndex((x) => lighter(merged, x) < 0);
+    outer.splice(at < 0 ? outer.length : at, 0, merged);
   }
+  return moves;
 
   function merge(from: LoadedMachine, to: LoadedMachine): boolean {
     if (!to.open || moves.length + from.tasks.length > limits.moveCap) return false;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from "../protocol/model.js";
+import type { Amount } from "../bookkeeping/machines.js";
 import { addTo, allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
 import type { JobView, MachineView, QuotaView, VictimView } from "./views.js";
 
@@ -8,20 +9,46 @@
   tasks: number;
 }
 
+/** Room that is kept for a job: others were stopped for it, or the rest of its gang is still to come. */
+export interface Hold {
+  jobId: string;
+  machine: string;
+  tasks: number;
+  etaS: number;
+}
+
 export interface PlacementPlan {
   placements: Placement[];
   /** Attempts to stop (their `ref`), and for whom. */
-  evictions: { ref: number; jobId: string }[];
-  /** What found no place on a machine that is up. */
-  unplaced: { job: JobView; tasks: number }[];
+  evictions: { ref: unknown; jobId: string }[];
+  /** What found no place on a machine that is up; a gang's rest is wanted in that zone. */
+  unplaced: { job: JobView; tasks: number; zone: string | null }[];
+  /** What the next pass should keep, in place of what this one was given. */
+  holds: Hold[];
+  /** Views that were written on. */
+  touched: Set<MachineView>;
+  /** Machines looked at: what a pass costs. */
+  looked: number;
 }
 
 export interface PlacementInput {
   /** In the order in which they are to be served. */
   jobs: JobView[];
+  /** Up, and to be trusted with new work. */
   machines: MachineView[];
+  /** On their way; a gang counts on them. */
+  coming: MachineView[];
+  holds: Hold[];
   quota: QuotaView;
   maxEvictions: number;
+  /** Jobs that room may be made for in one pass. */
+  maxMakers: number;
+  /** False when nothing runs that could be stopped for it. */
+  mayStop: (job: JobView) => boolean;
+  /** The cloud has lately had nothing there for it. */
+  refused: (spec: JobSpec, zone: string) => boolean;
+  guaranteed: (jobId: string) => boolean;
+  nowMs: number;
 }
 
 /** Seconds that a task would wait for its image there. */
@@ -57,7 +84,7 @@
  */
 export function roomFor(spec: JobSpec, m: MachineView): number {
   const n = howMany(spec, m.free);
-  if (spec.gpus > 0 || m.type.gpus === 0 || !m.claim) return n;
+  if (n === 0 || spec.gpus > 0 || m.type.gpus === 0 || !m.claim) return n;
   if (spec.kind === "service" || !m.gpuBusy) return 0;
   const spare = {
     cpus: m.free.cpus - m.free.gpus * m.claim.cpus,
@@ -67,215 +94,397 @@
   return Math.min(n, howMany(spec, spare));
 }
 
-function mayEvict(job: JobView, victim: VictimView): boolean {
-  if (victim.jobId === job.spec.id) return false;
-  if (victim.priority < job.spec.priority) return true;
-  // So that a team gets its guarantee, what another team borrows may be stopped.
-  return job.guaranteed && victim.borrowed && victim.team !== job.spec.team;
+interface Chosen {
+  machine: MachineView;
+  tasks: number;
 }
 
 /** Places what it can, in order; makes room by stopping lesser work where the rules of preemption allow. Pure. */
 export function place(input: PlacementInput): PlacementPlan {
-  const plan: PlacementPlan = { placements: [], evictions: [], unplaced: [] };
-  for (const job of input.jobs) {
+  return new Pass(input).run();
+}
+
+class Pass {
+  private readonly plan: PlacementPlan = {
+    placements: [],
+    evictions: [],
+    unplaced: [],
+    holds: [],
+    touched: new Set(),
+    looked: 0,
+  };
+  private readonly byName = new Map<string, MachineView>();
+  private readonly holds = new Map<string, Hold[]>();
+  /** Shapes that fitted nowhere: in one pass room only shrinks, so what asks for no less fits nowhere either. */
+  private readonly hopeless: JobSpec[] = [];
+  private readonly open: MachineView[];
+  private makers = 0;
+
+  constructor(private readonly i: PlacementInput) {
+    let cpus = Infinity;
+    let memoryGb = Infinity;
+    for (const j of i.jobs) {
+      cpus = Math.min(cpus, j.spec.cpus);
+      memoryGb = Math.min(memoryGb, j.spec.memoryGb);
+    }
+    for (const m of i.machines) {
+      this.byName.set(m.name, m);
+      m.held = null;
+    }
+    for (const h of i.holds) {
+      const list = this.holds.get(h.jobId);
+      if (list) list.push(h);
+      else this.holds.set(h.jobId, [h]);
+    }
+    const wanted = new Map(i.jobs.map((j) => [j.spec.id, j.spec]));
+    for (const h of i.holds) {
+      const m = this.byName.get(h.machine);
+      const spec = wanted.get(h.jobId);
+      if (m && !m.held && spec) this.keep(m, spec, h.tasks, h.etaS);
+    }
+    this.plan.looked += i.machines.length;
+    this.open = i.machines.filter(
+      (m) =>
+        m.free.cpus + (m.held?.amount.cpus ?? 0) >= cpus - 1e-6 &&
+        m.free.memoryGb + (m.held?.amount.memoryGb ?? 0) >= memoryGb - 1e-6,
+    );
+  }
+
+  run(): PlacementPlan {
+    for (const job of this.i.jobs) this.one(job);
+    return this.plan;
+  }
+
+  /** Takes room out of what others may have. */
+  private keep(m: MachineView, spec: JobSpec, tasks: number, etaS: number): void {
+    this.plan.touched.add(m);
+    takeFrom(m.free, spec, tasks);
+    const amount = m.held?.amount ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    takeFrom(amount, spec, -tasks);
+    m.held = { jobId: spec.id, amount, etaS: Math.max(etaS, m.held?.etaS ?? 0) };
+  }
+
+  private letGo(m: MachineView): void {
+    if (!m.held) return;
+    this.plan.touched.add(m);
+    addTo(m.free, m.held.amount);
+    m.held = null;
+  }
+
+  private one(job: JobView): void {
     const { spec } = job;
-    let want = Math.min(job.pending, input.quota.room(spec));
-    if (want <= 0) continue;
+    const { quota } = this.i;
+    const mine = this.holds.get(spec.id) ?? [];
+    for (const h of mine) {
+      const m = this.byName.get(h.machine);
+      if (m?.held?.jobId === spec.id) this.letGo(m);
+    }
+    let want = Math.min(job.pending, job.limit, quota.room(spec));
+    if (want <= 0) return;
     if (spec.kind === "gang") {
-      if (job.pending < spec.tasks || want < spec.tasks) continue;
-      want = spec.tasks;
+      if (job.pending < spec.tasks || want < spec.tasks) return;
+      this.gang(job);
+      return;
     }
     // Room where its image lies, even if lesser work has to make it, comes before waiting for a fetch elsewhere.
     const quick = job.quickS;
-    const chosen = quick === null ? [] : choose(job, want, input, quick);
-    let placed = sum(chosen);
-    if (quick !== null && placed < want && spec.kind !== "gang") {
-      const made = makeRoom(job, want - placed, input, plan, quick);
-      want -= made;
-    }
-    if (placed < want) chosen.push(...choose(job, want - placed, input, Infinity));
-    placed = sum(chosen);
-    if (spec.kind === "gang" && placed < want) {
-      // All of it or nothing.
-      for (const p of chosen) {
-        takeFrom(p.machine.free, spec, -p.tasks);
-        count(job, p.machine.zone, -p.tasks);
+    if (quick !== null) want -= this.put(job, this.choose(job, want, quick));
+    if (want > 0) want -= this.stillHeld(job, mine, want);
+    if (quick !== null && want > 0) want -= this.makeRoom(job, want, quick);
+    if (want > 0) want -= this.put(job, this.choose(job, want, Infinity));
+    if (want > 0) want -= this.makeRoom(job, want, Infinity);
+    if (want > 0) this.plan.unplaced.push({ job, tasks: want, zone: null });
+  }
+
+  /** Plans the starts; returns how many. */
+  private put(job: JobView, chosen: Chosen[]): number {
+    const { spec } = job;
+    let tasks = 0;
+    for (const { machine: m, tasks: n } of chosen) {
+      this.plan.touched.add(m);
+      takeFrom(m.free, spec, n);
+      if (!m.images.has(spec.image)) {
+        // Later tasks of this plan see the fetch that this one begins.
+        if (!m.fetching.has(spec.image)) m.backlogGb += spec.imageGb;
+        m.fetching.add(spec.image);
+        m.fetchRank = Math.max(m.fetchRank, spec.priority);
       }
-      const made = makeRoom(job, want, input, plan, Infinity);
-      if (made < want) plan.unplaced.push({ job, tasks: want - made });
-      continue;
+      count(job, m.zone, n);
+      this.plan.placements.push({ jobId: spec.id, machine: m.name, tasks: n });
+      tasks += n;
     }
-    for (const p of chosen) plan.placements.push({ jobId: spec.id, machine: p.machine.name, tasks: p.tasks });
-    input.quota.take(spec, placed);
-    const missing = want - placed;
-    if (missing <= 0) continue;
-    const made = makeRoom(job, missing, input, plan, Infinity);
-    if (made < missing) plan.unplaced.push({ job, tasks: missing - made });
+    this.i.quota.take(spec, tasks);
+    return tasks;
   }
-  return plan;
-}
 
-function sum(list: { tasks: number }[]): number {
-  return list.reduce((total, p) => total + p.tasks, 0);
-}
+  /** Room that others are still leaving for it: no second one is made, and nobody else gets it. */
+  private stillHeld(job: JobView, mine: Hold[], missing: number): number {
+    let kept = 0;
+    for (const h of mine) {
+      const m = this.byName.get(h.machine);
+      if (!m || kept >= missing) continue;
+      const room = { ...m.free };
+      addTo(room, m.leaving);
+      const n = Math.min(
+        h.tasks,
+        missing - kept,
+        howMany(job.spec, room),
+        zoneRoom(job.spec, job.zones, m.zone),
+      );
+      if (n <= 0 || howMany(job.spec, m.free) >= n) continue;
+      this.hold(job, m, n, h.etaS);
+      count(job, m.zone, n);
+      kept += n;
+    }
+    this.i.quota.take(job.spec, kept);
+    return kept;
+  }
 
-function count(job: JobView, zone: string, tasks: number): void {
-  job.zones.set(zone, (job.zones.get(zone) ?? 0) + tasks);
-}
+  private hold(job: JobView, m: MachineView, tasks: number, etaS: number): void {
+    this.keep(m, job.spec, tasks, etaS);
+    this.plan.holds.push({ jobId: job.spec.id, machine: m.name, tasks, etaS });
+  }
 
-function choose(
-  job: JobView,
-  want: number,
-  input: PlacementInput,
-  withinS: number,
-): { machine: MachineView; tasks: number }[] {
-  const { spec } = job;
-  const candidates = input.machines.filter(
-    (m) =>
-      m.placeable &&
-      allows(spec, m.type.name, m.zone, m.spot) &&
-      !job.avoid.has(m.name) &&
-      fits(spec, m.free) &&
-      // Fetches share the line: lesser work begins none of its own while greater work waits for its image.
-      (m.fetchRank <= spec.priority || m.images.has(spec.image) || m.fetching.has(spec.image)) &&
-      fetchDelayS(spec, m) <= withinS,
-  );
-  if (spec.oneZone && want > 1) {
-    // The zone that holds most of it, the quickest of those.
-    let best: { machine: MachineView; tasks: number }[] = [];
-    for (const zone of new Set(candidates.map((m) => m.zone))) {
-      const got = fill(
-        job,
-        want,
-        candidates.filter((m) => m.zone === zone),
-      );
-      if (sum(got) > sum(best)) best = got;
-      for (const p of got) {
-        takeFrom(p.machine.free, spec, -p.tasks);
-        count(job, p.machine.zone, -p.tasks);
-      }
+  // ------------------------------------------------------------------ gangs
+
+  /**
+   * A gang starts whole or not at all, in one zone where it must be. What is there is kept for it while the rest is on
+   * its way, or once it has waited long: otherwise smaller work would take every machine that comes free, for ever.
+   */
+  private gang(job: JobView): void {
+    const { spec } = job;
+    const want = spec.tasks;
+    const zones = spec.oneZone ? this.zonesOf(spec) : [null];
+    let best: { zone: string | null; chosen: Chosen[]; price: number } | null = null;
+    let most: { zone: string | null; have: number; soon: number; score: number } | null = null;
+    for (const zone of zones) {
+      const chosen = this.choose(job, want, Infinity, zone);
+      const have = sum(chosen);
+      const price = chosen.reduce((total, p) => total + p.tasks * cost(job, p.machine), 0);
+      if (have >= want && (!best || price < best.price)) best = { zone, chosen, price };
+      const soon = have >= want ? 0 : this.comingRoom(job, want - have, zone);
+      // Where the rest can't be had, it has to wait for others to end.
+      const rest = want - have - soon > 0 && zone !== null && this.i.refused(spec, zone);
+      const score = have + soon - (rest ? want : 0);
+      if (!most || score > most.score) most = { zone, have, soon, score };
+    }
+    if (best) {
+      this.put(job, best.chosen);
+      return;
+    }
+    if (this.makeRoom(job, want, Infinity) >= want) return;
+    if (!most) {
+      this.plan.unplaced.push({ job, tasks: want, zone: null });
+      return;
     }
-    for (const p of best) {
-      takeFrom(p.machine.free, spec, p.tasks);
-      count(job, p.machine.zone, p.tasks);
+    const { zone, have, soon } = most;
+    const whole = have + soon >= want;
+    this.takeComing(job, want - have, zone);
+    if (have > 0 && (whole || job.aged)) {
+      const etaS = whole ? 20 : this.etaS(job, want - have, zone);
+      for (const p of this.choose(job, want, Infinity, zone)) this.hold(job, p.machine, p.tasks, etaS);
+      // Its quota is spoken for, too.
+      this.i.quota.take(spec, want);
     }
-    return best;
+    if (!whole) this.plan.unplaced.push({ job, tasks: want - have - soon, zone });
   }
-  return fill(job, want, candidates);
-}
 
-function fill(
-  job: JobView,
-  want: number,
-  candidates: MachineView[],
-): { machine: MachineView; tasks: number }[] {
-  const { spec } = job;
-  const out: { machine: MachineView; tasks: number }[] = [];
-  const left = new Set(candidates);
-  let missing = want;
-  while (missing > 0 && left.size > 0) {
-    let best: MachineView | null = null;
-    let bestCost = Infinity;
-    for (const m of left) {
-      const c = cost(job, m);
-      if (c < bestCost) {
-        best = m;
-        bestCost = c;
-      }
+  private zonesOf(spec: JobSpec): (string | null)[] {
+    const zones = new Set<string>();
+    for (const m of this.i.machines) if (m.type.gpus >= spec.gpus) zones.add(m.zone);
+    for (const m of this.i.coming) zones.add(m.zone);
+    return spec.zone === null ? [...zones] : [spec.zone];
+  }
+
+  private comingRoom(job: JobView, want: number, zone: string | null): number {
+    let n = 0;
+    for (const m of this.i.coming) {
+      if (n >= want) break;
+      if (zone !== null && m.zone !== zone) continue;
+      if (allows(job.spec, m.type.name, m.zone, m.spot)) n += howMany(job.spec, m.free);
     }
-    if (!best) break;
-    const n = Math.min(missing, roomFor(spec, best), zoneRoom(spec, job.zones, best.zone));
-    left.delete(best);
-    if (n <= 0) continue;
-    takeFrom(best.free, spec, n);
-    if (!best.images.has(spec.image)) {
-      // Later tasks of this plan see the fetch that this one begins.
-      if (!best.fetching.has(spec.image)) best.backlogGb += spec.imageGb;
-      best.fetching.add(spec.image);
-      best.fetchRank = Math.max(best.fetchRank, spec.priority);
+    return Math.min(n, want);
+  }
+
+  private takeComing(job: JobView, want: number, zone: string | null): void {
+    let left = want;
+    for (const m of this.i.coming) {
+      if (left <= 0) break;
+      if (zone !== null && m.zone !== zone) continue;
+      if (!allows(job.spec, m.type.name, m.zone, m.spot)) continue;
+      const n = Math.min(left, howMany(job.spec, m.free));
+      takeFrom(m.free, job.spec, n);
+      left -= n;
     }
-    count(job, best.zone, n);
-    out.push({ machine: best, tasks: n });
-    missing -= n;
   }
-  return out;
-}
 
-/** Tries to find room for `want` tasks by stopping others; returns for how many it will be there. */
-function makeRoom(
-  job: JobView,
-  want: number,
-  input: PlacementInput,
-  plan: PlacementPlan,
-  withinS: number,
-): number {
-  const { spec } = job;
-  const zones = new Map(job.zones);
-  const picked: { m: MachineView; victims: VictimView[]; tasks: number }[] = [];
-  const undo: (() => void)[] = [];
-  let missing = want;
-  const options = input.machines.filter(
-    (m) =>
-      m.placeable &&
-      allows(spec, m.type.name, m.zone, m.spot) &&
-      !job.avoid.has(m.name) &&
-      (spec.gpus > 0 || m.type.gpus === 0 || !m.claim) &&
-      fetchDelayS(spec, m) <= withinS,
-  );
-  const tried = new Set<MachineView>();
-  while (missing > 0) {
-    let best: { m: MachineView; victims: VictimView[]; cost: number } | null = null;
-    for (const m of options) {
-      if (tried.has(m) || zoneRoom(spec, zones, m.zone) <= 0) continue;
-      const room = { ...m.free };
-      addTo(room, m.leaving);
-      const victims: VictimView[] = [];
-      let loss = 0;
-      if (!fits(spec, room)) {
-        const able = m.victims
-          .filter((v) => mayEvict(job, v))
-          .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
-        for (const v of able) {
-          if (fits(spec, room)) break;
-          // Only what helps.
-          if (
-            v.gpus === 0 &&
-            spec.gpus > room.gpus + 1e-6 &&
-            spec.cpus <= room.cpus &&
-            spec.memoryGb <= room.memoryGb
-          )
-            continue;
-          victims.push(v);
-          addTo(room, v);
-          loss += v.lossS;
-        }
+  /** When enough of the zone's machines should have come free. */
+  private etaS(job: JobView, missing: number, zone: string | null): number {
+    const times: number[] = [];
+    for (const m of this.i.machines) {
+      if (zone !== null && m.zone !== zone) continue;
+      if (!allows(job.spec, m.type.name, m.zone, m.spot)) continue;
+      const whole = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
+      if (howMany(job.spec, m.free) > 0 || !fits(job.spec, whole)) continue;
+      times.push(m.freeInS(this.i.nowMs));
+    }
+    times.sort((a, b) => a - b);
+    return times[Math.min(missing, times.length) - 1] ?? 0;
+  }
+
+  // ------------------------------------------------------------------ choosing
+
+  private isHopeless(spec: JobSpec): boolean {
+    return this.hopeless.some(
+      (s) =>
+        s.cpus <= spec.cpus &&
+        s.gpus <= spec.gpus &&
+        s.memoryGb <= spec.memoryGb &&
+        (s.spot || !spec.spot) &&
+        (s.types === null || s.types.join() === spec.types?.join()) &&
+        (s.zone === null || s.zone === spec.zone),
+    );
+  }
+
+  private choose(job: JobView, want: number, withinS: number, zone: string | null = null): Chosen[] {
+    const { spec } = job;
+    if (this.isHopeless(spec)) return [];
+    let fitting = 0;
+    const candidates: { m: MachineView; c: number }[] = [];
+    this.plan.looked += this.open.length;
+    for (const m of this.open) {
+      if (!fits(spec, m.free)) {
+        // What is kept for another may be used by what is over before that one begins.
+        if (m.held) fitting++;
+        if (!m.held || m.held.etaS < (job.taskS + fetchDelayS(spec, m)) * 1.3 + 2) continue;
+        const room = { ...m.free };
+        addTo(room, m.held.amount);
+        if (!fits(spec, room) || !allows(spec, m.type.name, m.zone, m.spot)) continue;
+        if (zone !== null && m.zone !== zone) continue;
+        this.letGo(m);
       }
-      if (!fits(spec, room)) continue;
-      const c = fetchDelayS(spec, m) + loss * 0.3 + victims.length;
-      if (!best || c < best.cost) best = { m, victims, cost: c };
+      if (!allows(spec, m.type.name, m.zone, m.spot)) continue;
+      fitting++;
+      if ((zone !== null && m.zone !== zone) || job.avoid.has(m.name)) continue;
+      // Fetches share the line: lesser work begins none of its own while greater work waits for its image.
+      if (m.fetchRank > spec.priority && !m.images.has(spec.image) && !m.fetching.has(spec.image)) continue;
+      if (fetchDelayS(spec, m) > withinS) continue;
+      candidates.push({ m, c: cost(job, m) });
     }
-    if (!best) break;
-    const { m, victims } = best;
-    if (plan.evictions.length + victims.length > input.maxEvictions) break;
-    // The room is spoken for: no lesser job may take it in the meantime.
-    takeFrom(m.free, spec, 1);
-    m.victims = m.victims.filter((v) => !victims.includes(v));
-    for (const v of victims) addTo(m.leaving, v);
-    undo.push(() => takeFrom(m.free, spec, -1));
-    zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
-    picked.push({ m, victims, tasks: 1 });
-    missing--;
+    if (fitting === 0) this.hopeless.push(spec);
+    candidates.sort((a, b) => a.c - b.c || (a.m.name < b.m.name ? -1 : 1));
+    const out: Chosen[] = [];
+    const zones = new Map(job.zones);
+    let missing = want;
+    for (const { m } of candidates) {
+      if (missing <= 0) break;
+      const n = Math.min(missing, roomFor(spec, m), zoneRoom(spec, zones, m.zone));
+      if (n <= 0) continue;
+      zones.set(m.zone, (zones.get(m.zone) ?? 0) + n);
+      out.push({ machine: m, tasks: n });
+      missing -= n;
+    }
+    return out;
+  }
+
+  // ------------------------------------------------------------------ making room
+
+  private mayEvict(job: JobView, victim: VictimView): boolean {
+    if (victim.jobId === job.spec.id) return false;
+    if (victim.priority < job.spec.priority) return true;
+    // So that a team gets its guarantee, what another team borrows may be stopped.
+    return job.guaranteed && victim.team !== job.spec.team && !this.i.guaranteed(victim.jobId);
   }
-  if (missing > 0 && spec.kind === "gang") {
-    for (const back of undo) back();
-    for (const p of picked) {
-      p.m.victims.push(...p.victims);
-      for (const v of p.victims) addTo(p.m.leaving, { cpus: -v.cpus, gpus: -v.gpus, memoryGb: -v.memoryGb });
+
+  /** Who would have to go so that one more task fits; null: nobody's going helps. */
+  private victimsFor(job: JobView, m: MachineView): { victims: VictimView[]; loss: number } | null {
+    const { spec } = job;
+    const room: Amount = { ...m.free };
+    addTo(room, m.leaving);
+    const victims: VictimView[] = [];
+    let loss = 0;
+    if (fits(spec, room)) return { victims, loss };
+    const now = this.i.nowMs;
+    const able = m
+      .victims()
+      .filter((v) => this.mayEvict(job, v))
+      .sort((a, b) => a.priority - b.priority || a.lossS(now) - b.lossS(now));
+    for (const v of able) {
+      if (fits(spec, room)) break;
+      // Only what helps.
+      const lacksOnlyGpus = spec.cpus <= room.cpus && spec.memoryGb <= room.memoryGb;
+      if (v.gpus === 0 && spec.gpus > room.gpus + 1e-6 && lacksOnlyGpus) continue;
+      victims.push(v);
+      addTo(room, v);
+      loss += v.lossS(now);
+    }
+    return fits(spec, room) ? { victims, loss } : null;
+  }
+
+  /** Tries to find room for `want` tasks by stopping others; returns for how many it will be there. */
+  private makeRoom(job: JobView, want: number, withinS: number): number {
+    const { spec } = job;
+    // The lowest priority stops nobody, unless its team has less than its guarantee.
+    if ((spec.priority === 0 && !job.guaranteed) || this.makers >= this.i.maxMakers) return 0;
+    if (!this.i.mayStop(job)) return 0;
+    this.makers++;
+    const zones = new Map(job.zones);
+    const options: { m: MachineView; cost: number }[] = [];
+    this.plan.looked += this.i.machines.length;
+    for (const m of this.i.machines) {
+      if (!allows(spec, m.type.name, m.zone, m.spot) || job.avoid.has(m.name) || m.held) continue;
+      if (spec.gpus === 0 && m.type.gpus > 0 && m.claim) continue;
+      const delay = fetchDelayS(spec, m);
+      if (delay > withinS || zoneRoom(spec, zones, m.zone) <= 0) continue;
+      const found = this.victimsFor(job, m);
+      if (found) options.push({ m, cost: delay + found.loss * 0.3 + found.victims.length });
+    }
+    options.sort((a, b) => a.cost - b.cost || (a.m.name < b.m.name ? -1 : 1));
+    const picked = new Map<MachineView, { victims: VictimView[]; tasks: number }>();
+    let missing = want;
+    let evictions = this.plan.evictions.length;
+    for (const { m } of options) {
+      const free = { ...m.free };
+      const leaving = { ...m.leaving };
+      const entry = { victims: [] as VictimView[], tasks: 0 };
+      while (missing > 0 && zoneRoom(spec, zones, m.zone) > 0) {
+        const found = this.victimsFor(job, m);
+        if (!found || evictions + found.victims.length > this.i.maxEvictions) break;
+        evictions += found.victims.length;
+        entry.victims.push(...found.victims);
+        entry.tasks++;
+        takeFrom(m.free, spec, 1);
+        for (const v of found.victims) addTo(m.leaving, v);
+        const left = m.victims().filter((v) => !found.victims.includes(v));
+        m.victims = () => left;
+        zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
+        missing--;
+      }
+      this.plan.touched.add(m);
+      Object.assign(m.free, free);
+      Object.assign(m.leaving, leaving);
+      if (entry.tasks > 0) picked.set(m, entry);
+      if (missing <= 0) break;
+    }
+    if (missing > 0 && spec.kind === "gang") return 0;
+    for (const [m, { victims, tasks }] of picked) {
+      for (const v of victims) {
+        addTo(m.leaving, v);
+        this.plan.evictions.push({ ref: v.ref, jobId: spec.id });
+      }
+      // The room is spoken for: no lesser job may take it in the meantime.
+      this.hold(job, m, tasks, 5);
+      count(job, m.zone, tasks);
     }
-    return 0;
+    this.i.quota.take(spec, want - missing);
+    return want - missing;
   }
-  for (const p of picked) for (const v of p.victims) plan.evictions.push({ ref: v.ref, jobId: spec.id });
-  input.quota.take(spec, picked.length);
-  for (const p of picked) count(job, p.m.zone, 1);
-  return picked.length;
+}
+
+function sum(list: { tasks: number }[]): number {
+  return list.reduce((total, p) => total + p.tasks, 0);
+}
+
+function count(job: JobView, zone: string, tasks: number): void {
+  job.zones.set(zone, (job.zones.get(zone) ?? 0) + tasks);
 }
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -4,16 +4,30 @@
 import { log } from "../transport/log.js";
 import type { ConductorOptions } from "./conductor.js";
 import type { Lore } from "./lore.js";
-import { place, type PlacementPlan } from "./placement.js";
+import { place, type Hold, type PlacementPlan } from "./placement.js";
 import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import type { Reign } from "./reign.js";
 import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
 
 const PASS_DELAY_MS = 3;
+/** Passes are no closer together than this, nor than a few times what the last one took. */
+const GAP_MS = 15;
+/** Room that others were stopped for is kept so long; a gang's so long, while the rest of it comes. */
+const HOLD_MS = 6000;
+const GANG_HOLD_MS = 180_000;
 
 /** Owns the passes: takes a snapshot, has the decisions made, carries them out. */
 export class Placer {
   private passSet = false;
+  private nextPassMs = -Infinity;
+  private holds: (Hold & { untilMs: number })[] = [];
+  private guaranteedOf = -1;
+  private guaranteedJobs = new Set<Job>();
+  /** As they were built last; rebuilt when the machine has changed or a pass has written on them. */
+  private readonly views = new Map<
+    string,
+    { of: Machine; changes: number; claims: number; view: MachineView }
+  >();
 
   constructor(
     private readonly r: Reign,
@@ -25,44 +39,59 @@
     if (this.passSet) return;
     this.passSet = true;
     const { term } = this.r.mandate;
-    this.o.clock.after(PASS_DELAY_MS, () => this.o.tell({ kind: "pass", term }));
+    const waitMs = Math.max(PASS_DELAY_MS, this.nextPassMs - this.o.clock.nowMs());
+    this.o.clock.after(waitMs, () => this.o.tell({ kind: "pass", term }));
   }
 
   pass(): void {
     this.passSet = false;
-    if (!this.r.loaded || !this.r.full() || !this.lore.typesKnown) return;
+    const { r, lore } = this;
+    if (!r.loaded || !r.full() || !lore.typesKnown) return;
     const now = this.o.clock.nowMs();
-    const guaranteed = withinGuarantee(this.r.jobs.values(), this.r.usage.teams);
+    const guaranteed = this.guaranteed();
     const entries: QueueEntry[] = [];
-    for (const job of this.r.jobs.values()) {
+    for (const job of r.jobs.values()) {
       if (job.cancelled || job.pending <= 0 || job.notBeforeMs > now) continue;
       entries.push(this.entry(job, guaranteed.has(job), now));
     }
-    if (entries.length === 0) return;
-    const entriesInOrder = serveOrder(entries, (priority) => this.roomFor(priority));
-    const refs: Attempt[] = [];
+    if (entries.length > 0) this.place(entries, guaranteed, now);
+    // Whatever else there is to do gets its turn between two passes.
+    this.nextPassMs = this.o.clock.nowMs() + Math.max(GAP_MS, (this.o.clock.nowMs() - now) * 4);
+  }
+
+  private place(entries: QueueEntry[], guaranteed: Set<Job>, now: number): void {
+    const { r, lore } = this;
+    const inOrder = serveOrder(entries, (priority, gpus) => this.roomFor(priority, gpus));
     const machines: MachineView[] = [];
     const coming: MachineView[] = [];
-    for (const job of this.r.jobs.values()) this.lore.profile(job);
-    for (const m of this.r.machines.values()) {
+    for (const m of r.machines.values()) {
       if (!m.type || m.state === "leaving" || m.cordoned || m.takenAtMs !== null) continue;
-      const view = this.view(m, m.type, guaranteed, refs, now);
-      if (m.state === "up") {
-        if (view.placeable) machines.push(view);
-      } else coming.push(view);
+      // What is on its way is written on by the renter as well: made anew each time.
+      if (m.state === "booting") coming.push(this.build(m, m.type));
+      else if (m.hears && now - m.lastHeardMs < this.o.operator.suspectS * 1000)
+        machines.push(this.view(m, m.type));
+    }
+    for (const order of r.fleet.renting.values()) {
+      const type = lore.typeNamed(order.type);
+      if (!type) continue;
+      for (let i = 0; i < order.count; i++)
+        coming.push(emptyView(type, order.zone, order.spot, lore.claimOn(type, order.spot)));
     }
-    for (const order of this.r.fleet.renting.values()) {
-      const type = this.lore.types.find((t) => t.name === order.type);
-      if (type)
-        for (let i = 0; i < order.count; i++)
-          coming.push(emptyView(type, order.zone, order.spot, this.lore.claimOn(type, order.spot)));
+    let lowest = Infinity;
+    let borrowing = false;
+    for (const job of r.jobs.values()) {
+      if (job.attempts.size === 0) continue;
+      lowest = Math.min(lowest, job.spec.priority);
+      borrowing ||= !guaranteed.has(job);
     }
     const budget = new Map<string, { cpus: number; gpus: number }>();
     const plan = place({
-      jobs: entriesInOrder.map((e) => this.jobView(e, now)),
+      jobs: inOrder.map((e) => this.jobView(e, now)),
       machines,
+      coming,
+      holds: this.holds.filter((h) => h.untilMs > now),
       quota: {
-        room: (spec) => this.r.usage.room(spec, budget.get(spec.team)),
+        room: (spec) => r.usage.room(spec, budget.get(spec.team)),
         take: (spec, tasks) => {
           const extra = budget.get(spec.team) ?? { cpus: 0, gpus: 0 };
           extra.cpus += spec.cpus * tasks;
@@ -71,9 +100,38 @@
         },
       },
       maxEvictions: 40,
+      maxMakers: 8,
+      mayStop: (j) => lowest < j.spec.priority || (j.guaranteed && borrowing),
+      refused: (spec, zone) => r.fleet.refusedAll(spec, zone, now),
+      guaranteed: (id) => {
+        const job = r.jobs.get(id);
+        return job !== undefined && guaranteed.has(job);
+      },
+      nowMs: now,
+    });
+    for (const v of plan.touched) this.views.delete(v.name);
+    this.keepHolds(plan.holds, now);
+    this.carryOut(plan, now);
+    r.fleet.rent(plan, coming);
+  }
+
+  /** A hold lasts a while from when it was first made, so that nothing is kept for ever for a job that can't come. */
+  private keepHolds(holds: Hold[], now: number): void {
+    const before = new Map(this.holds.map((h) => [`${h.jobId} ${h.machine}`, h.untilMs]));
+    this.holds = holds.map((h) => {
+      const job = this.r.jobs.get(h.jobId);
+      const forMs = job?.spec.kind === "gang" ? GANG_HOLD_MS : HOLD_MS;
+      return { ...h, untilMs: before.get(`${h.jobId} ${h.machine}`) ?? now + forMs };
     });
-    this.carryOut(plan, refs, now);
-    this.r.fleet.rent(plan, coming);
+  }
+
+  private guaranteed(): Set<Job> {
+    const { r } = this;
+    if (this.guaranteedOf !== r.jobsVersion) {
+      this.guaranteedOf = r.jobsVersion;
+      this.guaranteedJobs = withinGuarantee(r.jobs.values(), r.usage.teams);
+    }
+    return this.guaranteedJobs;
   }
 
   private entry(job: Job, guaranteed: boolean, now: number): QueueEntry {
@@ -84,6 +142,8 @@
     for (const a of job.attempts) {
       runningS += Math.max(1, taskS - (a.runningMs === null ? 0 : (now - a.runningMs) / 1000));
     }
+    const waitedS = (now - job.bornMs) / 1000;
+    const aged = job.attempts.size === 0 && job.doneCount === 0 && waitedS > (spec.kind === "gang" ? 45 : 90);
     return {
       job,
       id: job.id,
@@ -91,20 +151,26 @@
       guaranteed,
       duesS: wishedS(spec.className, spec.deadlineS, this.o.platform.objectives).map((s) => s - agoS),
       taskS,
-      work: spec.cpus * (job.pending * taskS + runningS),
+      gpus: spec.gpus > 0,
+      aged,
+      work: (spec.gpus || spec.cpus) * (job.pending * taskS + runningS),
       since: job.acceptedAt.getTime(),
     };
   }
 
-  /** Cpus that work of this priority can count on: everything but what higher work and accelerators take. */
-  private roomFor(priority: number): number {
-    let cpus = 0;
+  /** What work of this priority can count on: everything but what higher work and, for cpus, accelerators take. */
+  private roomFor(priority: number, gpus: boolean): number {
+    let room = 0;
     for (const m of this.r.machines.values()) {
-      if (!m.type || m.state !== "up" || m.cordoned || this.lore.claimOn(m.type, m.spot)) continue;
-      cpus += m.type.cpus;
-      for (const a of m.attempts) if (a.job.spec.priority > priority) cpus -= a.job.spec.cpus;
+      if (!m.type || m.state === "leaving" || m.cordoned) continue;
+      if (gpus) room += m.type.gpus;
+      else if (m.type.gpus === 0 || !this.lore.claimOn(m.type, m.spot)) room += m.type.cpus;
+      else continue;
+      for (const a of m.attempts) {
+        if (a.job.spec.priority > priority) room -= gpus ? a.job.spec.gpus : a.job.spec.cpus;
+      }
     }
-    return cpus;
+    return room;
   }
 
   private jobView(e: QueueEntry, now: number): JobView {
@@ -119,6 +185,9 @@
     return {
       spec: e.job.spec,
       pending: e.job.pending,
+      limit: e.aged && e.job.spec.kind === "array" ? Math.max(4, Math.ceil(e.job.spec.tasks / 8)) : Infinity,
+      taskS: e.taskS,
+      aged: e.aged,
       guaranteed: e.guaranteed,
       zones,
       avoid,
@@ -136,53 +205,58 @@
     return null;
   }
 
-  private view(
-    m: Machine,
-    type: MachineType,
-    guaranteed: Set<Job>,
-    refs: Attempt[],
-    now: number,
-  ): MachineView {
+  private view(m: Machine, type: MachineType): MachineView {
+    const known = this.views.get(m.name);
+    if (
+      known?.of === m &&
+      known.changes === m.changes &&
+      known.claims === this.lore.claims &&
+      known.view.type === type
+    ) {
+      return known.view;
+    }
+    const view = this.build(m, type);
+    this.views.set(m.name, { of: m, changes: m.changes, claims: this.lore.claims, view });
+    return view;
+  }
+
+  private build(m: Machine, type: MachineType): MachineView {
     const view = emptyView(type, m.zone, m.spot, this.lore.claimOn(type, m.spot));
-    view.gpuBusy = [...m.attempts].some((a) => a.job.spec.gpus > 0);
     view.name = m.name;
-    view.placeable = m.state === "up" && now - m.lastHeardMs < this.o.operator.suspectS * 1000;
     view.free.cpus -= m.used.cpus;
     view.free.gpus -= m.used.gpus;
     view.free.memoryGb -= m.used.memoryGb;
     for (const image of m.images.keys()) if (m.hasImage(image)) view.images.add(image);
     for (const image of m.fetching.keys()) view.fetching.add(image);
-    for (const a of m.attempts) {
-      if (m.fetching.has(a.job.spec.image)) view.fetchRank = Math.max(view.fetchRank, a.job.spec.priority);
-    }
     view.backlogGb = m.fetchBacklogGb();
     view.withControllers = this.lore.controllerZones.has(m.zone);
     for (const a of m.attempts) {
       const { spec } = a.job;
-      if (a.stop) {
-        view.leaving.cpus += spec.cpus;
-        view.leaving.gpus += spec.gpus;
-        view.leaving.memoryGb += spec.memoryGb;
-        continue;
-      }
-      // A gang is no single victim here: stopping one member ends them all.
-      if (spec.kind === "gang" && spec.tasks > 1) continue;
-      view.victims.push({
-        ref: refs.push(a) - 1,
-        jobId: a.job.id,
-        team: spec.team,
-        priority: spec.priority,
-        borrowed: !guaranteed.has(a.job),
-        cpus: spec.cpus,
-        gpus: spec.gpus,
-        memoryGb: spec.memoryGb,
-        lossS: lossOf(a, now),
-      } satisfies VictimView);
+      view.gpuBusy ||= spec.gpus > 0;
+      if (m.fetching.has(spec.image)) view.fetchRank = Math.max(view.fetchRank, spec.priority);
+      if (!a.stop) continue;
+      view.leaving.cpus += spec.cpus;
+      view.leaving.gpus += spec.gpus;
+      view.leaving.memoryGb += spec.memoryGb;
     }
+    let victims: VictimView[] | null = null;
+    view.victims = () => (victims ??= victimsOn(m));
+    view.freeInS = (nowMs) => {
+      let last = 0;
+      for (const a of m.attempts) last = Math.max(last, this.leftS(a, nowMs));
+      return last;
+    };
     return view;
   }
 
-  private carryOut(plan: PlacementPlan, refs: Attempt[], now: number): void {
+  private leftS(a: Attempt, nowMs: number): number {
+    const { spec } = a.job;
+    if (spec.kind === "service") return 3600;
+    const ranS = a.runningMs === null ? 0 : (nowMs - a.runningMs) / 1000;
+    return Math.max(3, this.lore.learner.expectedS(spec.className, spec.estimateS) - ranS);
+  }
+
+  private carryOut(plan: PlacementPlan, now: number): void {
     for (const p of plan.placements) {
       const job = this.r.jobs.get(p.jobId);
       const m = this.r.machines.get(p.machine);
@@ -215,8 +289,8 @@
     }
     if (plan.placements.length > 0) this.r.archive.requestWrite(0);
     for (const e of plan.evictions) {
-      const a = refs[e.ref];
-      if (!a || a.stop || !a.machine.attempts.has(a)) continue;
+      const a = e.ref as Attempt;
+      if (a.stop || !a.machine.attempts.has(a)) continue;
       log.debug(() => `${a.job.id}/${a.task} makes room on ${a.machine.name} for ${e.jobId}`);
       this.r.attempts.stopOrderly(a);
     }
@@ -228,6 +302,27 @@
   }
 }
 
+/** What runs there and may be stopped one by one. */
+function victimsOn(m: Machine): VictimView[] {
+  const out: VictimView[] = [];
+  for (const a of m.attempts) {
+    const { spec } = a.job;
+    // A gang is no single victim here: stopping one member ends them all.
+    if (a.stop || (spec.kind === "gang" && spec.tasks > 1)) continue;
+    out.push({
+      ref: a,
+      jobId: a.job.id,
+      team: spec.team,
+      priority: spec.priority,
+      cpus: spec.cpus,
+      gpus: spec.gpus,
+      memoryGb: spec.memoryGb,
+      lossS: (nowMs) => lossOf(a, nowMs),
+    });
+  }
+  return out;
+}
+
 /** Seconds of work that stopping the attempt throws away. */
 function lossOf(a: Attempt, nowMs: number): number {
   const { spec } = a.job;
--- a/src/coordination/queue.ts
+++ b/src/coordination/queue.ts
@@ -34,6 +34,10 @@
   id: string;
   priority: number;
   guaranteed: boolean;
+  /** Works on accelerators: it shares room with its like only. */
+  gpus: boolean;
+  /** Nothing of it has begun for too long, however small what passed it was. */
+  aged: boolean;
   /** Seconds from now at which it should be complete, the nearest wish first; later wishes are looser. */
   duesS: number[];
   /** Seconds that a single task of it still takes. */
@@ -58,31 +62,46 @@
 
 /**
  * The order in which jobs are served: priority, then guaranteed work, then as many jobs as can be in time.
- * `cpus` is the room that each priority has for what it is offered.
+ * `roomOf` is the room that each priority has for what it is offered.
  *
  * With less room than work, "least time left first" makes everybody a little late. So the jobs are taken by due
  * time, and whenever they don't fit, the largest of them steps back (Moore and Hodgson): it costs one job its
  * wish, and the others keep theirs. Those that stepped back are tried again at their next, looser wish; what can't
  * meet any comes last, the smallest first. Pure.
  */
-export function serveOrder(entries: QueueEntry[], cpus: (priority: number) => number): QueueEntry[] {
+export function serveOrder(
+  entries: QueueEntry[],
+  roomOf: (priority: number, gpus: boolean) => number,
+): QueueEntry[] {
   const out: QueueEntry[] = [];
   const ranks = [...new Set(entries.map((e) => e.priority))].sort((a, b) => b - a);
   for (const rank of ranks) {
-    const room = Math.max(1, cpus(rank));
-    let busyS = 0;
-    for (const guaranteed of [true, false]) {
-      let left = entries.filter((e) => e.priority === rank && e.guaranteed === guaranteed);
-      const levels = Math.max(0, ...left.map((e) => e.duesS.length));
-      for (let level = 0; level < levels; level++) {
-        const { kept, dropped, endS } = inTime(left, level, room, busyS);
-        out.push(...kept);
-        left = dropped;
-        busyS = endS;
-      }
-      left.sort((a, b) => bySize(a, b));
-      out.push(...left);
+    const ranked = entries.filter((e) => e.priority === rank);
+    // Stepping back has an end: who has waited too long comes first, the longest wait before the others.
+    out.push(...ranked.filter((e) => e.aged).sort((a, b) => a.since - b.since || (a.id < b.id ? -1 : 1)));
+    for (const gpus of [true, false]) {
+      const like = ranked.filter((e) => !e.aged && e.gpus === gpus);
+      if (like.length > 0) out.push(...inRank(like, Math.max(1, roomOf(rank, gpus))));
+    }
+  }
+  return out;
+}
+
+/** `room` is shared by the guaranteed, who come first, and the others. */
+function inRank(entries: QueueEntry[], room: number): QueueEntry[] {
+  const out: QueueEntry[] = [];
+  let busyS = 0;
+  for (const guaranteed of [true, false]) {
+    let left = entries.filter((e) => e.guaranteed === guaranteed);
+    const levels = Math.max(0, ...left.map((e) => e.duesS.length));
+    for (let level = 0; level < levels; level++) {
+      const { kept, dropped, endS } = inTime(left, level, room, busyS);
+      out.push(...kept);
+      left = dropped;
+      busyS = endS;
     }
+    left.sort((a, b) => bySize(a, b));
+    out.push(...left);
   }
   return out;
 }
--- a/src/coordination/reign.ts
+++ b/src/coordination/reign.ts
@@ -21,6 +21,8 @@
 export class Reign {
   loaded = false;
   over = false;
+  /** Counts jobs that come, go or are cancelled. */
+  jobsVersion = 0;
   readonly jobs = new Map<string, Job>();
   readonly machines = new Map<string, Machine>();
   readonly removed = new Set<string>();
--- a/src/coordination/renter.ts
+++ b/src/coordination/renter.ts
@@ -1,4 +1,4 @@
-import type { ListedMachine } from "../protocol/model.js";
+import type { JobSpec, ListedMachine } from "../protocol/model.js";
 import type { Machine } from "../bookkeeping/machines.js";
 import { log } from "../transport/log.js";
 import type { CloudNews, RentOrder } from "./cloudDesk.js";
@@ -7,13 +7,15 @@
 import type { Lore } from "./lore.js";
 import type { PlacementPlan } from "./placement.js";
 import type { Reign } from "./reign.js";
-import type { MachineView } from "./views.js";
+import { allows, howMany, type MachineView } from "./views.js";
 
 /** What the cloud refused is asked for again after this, then after twice as long, and so on. */
 const FIRST_REFUSED_MS = 8000;
 const MAX_REFUSED_MS = 40_000;
 /** Rentals under way at the same time. */
-const MAX_ORDERS = 3;
+const MAX_ORDERS = 4;
+/** Machines that one pass may want. */
+const MAX_MACHINES = 250;
 /** So long after its election a leader looks for machines that have not found it. */
 const SEEK_MS = 15_000;
 
@@ -97,6 +99,17 @@
     this.refusedUntilMs.delete(key);
   }
 
+  /** Nothing that the job could use is to be had there at present. */
+  refusedAll(spec: JobSpec, zone: string, now: number): boolean {
+    for (const type of this.lore.types) {
+      if (!type.zones.includes(zone) || !allows(spec, type.name, zone, false)) continue;
+      if (howMany(spec, { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb }) <= 0) continue;
+      for (const spot of spec.spot ? [true, false] : [false])
+        if ((this.refusedUntilMs.get(`${type.name} ${zone} ${spot}`) ?? 0) <= now) return false;
+    }
+    return true;
+  }
+
   private refused(order: RentOrder, now: number): void {
     const key = `${order.type} ${order.zone} ${order.spot}`;
     const before = this.refusals.get(key) ?? 0;
@@ -121,7 +134,7 @@
       types: this.lore.types,
       coming,
       refused: (type, zone, spot) => (this.refusedUntilMs.get(`${type} ${zone} ${spot}`) ?? 0) > now,
-      maxMachines: 40,
+      maxMachines: MAX_MACHINES,
       claim: (type, spot) => this.lore.claimOn(type, spot),
     });
     for (const w of wishes) {
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -105,7 +105,7 @@
     if (m.session > 0 && report.session > m.session) {
       log.info(`${m.name}: session ${report.session}, its tasks are gone`);
       // We hear it, and its lease ran out all the same: perhaps it doesn't hear us.
-      m.doubt();
+      m.doubt(now);
     }
     // A session's lease runs from its beginning, also when none of its reports was answered yet. Counted from an older
     // answer, a task started in the new session looked gone while it ran (rule `ran_twice`, docs/incidents/overload.md).
@@ -341,7 +341,7 @@
     } else if (result.status === null) {
       // Sent, and no answer: it may not hear us. The next one goes another way, under a token that proves it does.
       this.detour.add(m.name);
-      if (!result.neverSent) m.doubt();
+      if (!result.neverSent) m.doubt(now);
     }
   }
 
@@ -392,8 +392,11 @@
         this.r.fleet.remove(m, "taken by the cloud");
         continue;
       }
+      this.remind(m, now, silence);
       if (m.attempts.size === 0 && m.idleSinceMs !== null) {
         if (m.cordoned) this.r.fleet.remove(m, m.cordonReason);
+        else if (!m.hears && now - Math.max(m.idleSinceMs, m.doubtedMs, this.r.startedMs) > silentAfter)
+          this.r.fleet.remove(m, "is heard, but doesn't hear us");
         else if (
           silence < operator.suspectS * 1000 &&
           now - m.idleSinceMs > operator.idleKeepS * 1000 &&
@@ -402,7 +405,6 @@
           this.r.fleet.remove(m, "idle");
         continue;
       }
-      this.remind(m, now, silence);
     }
     for (const [name, sinceMs] of this.errands) {
       if (now - sinceMs < ERRAND_MS) continue;
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -1,21 +1,19 @@
 import type { JobSpec, MachineType } from "../protocol/model.js";
 import type { Amount } from "../bookkeeping/machines.js";
 
-/** Snapshots that the pure decisions work on. The conductor makes them; decisions may scribble on them. */
+/** Snapshots that the pure decisions work on. The placer makes them; decisions may scribble on them. */
 
 export interface VictimView {
-  /** Index into whatever list the conductor kept; decisions hand it back. */
-  ref: number;
+  /** Whatever the placer kept; decisions hand it back. */
+  ref: unknown;
   jobId: string;
   team: string;
   priority: number;
-  /** Its job is beyond its team's guarantee, so that another team's guaranteed work may take its place. */
-  borrowed: boolean;
   cpus: number;
   gpus: number;
   memoryGb: number;
-  /** Seconds of work lost by stopping it now, together with its gang. */
-  lossS: number;
+  /** Seconds of work lost by stopping it now. */
+  lossS: (nowMs: number) => number;
 }
 
 export interface MachineView {
@@ -23,8 +21,6 @@
   type: MachineType;
   zone: string;
   spot: boolean;
-  /** Up and to be trusted with new work; others are only looked at as what will be there. */
-  placeable: boolean;
   free: Amount;
   /** What tasks that are being stopped will leave. */
   leaving: Amount;
@@ -36,11 +32,16 @@
   withControllers: boolean;
   /** Highest priority that waits for a fetch there; -1: none. */
   fetchRank: number;
-  victims: VictimView[];
+  /** Room that a reservation keeps, for whom, and in how many seconds that one expects to begin. */
+  held: { jobId: string; amount: Amount; etaS: number } | null;
+  /** Made only for who asks: most passes stop nobody. */
+  victims: () => VictimView[];
   /** What work with accelerators wants beside each of them here; null: none of it may come here. */
   claim: Claim | null;
   /** Such work runs here now, so that the machine is paid for anyway. */
   gpuBusy: boolean;
+  /** Seconds until what runs here should be over. */
+  freeInS: (nowMs: number) => number;
 }
 
 /** The most that work with accelerators, as seen so far, takes for each of them. */
@@ -56,7 +57,6 @@
     type,
     zone,
     spot,
-    placeable: false,
     free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
     leaving: { cpus: 0, gpus: 0, memoryGb: 0 },
     images: new Set(),
@@ -64,9 +64,11 @@
     backlogGb: 0,
     fetchRank: -1,
     withControllers: true,
-    victims: [],
+    held: null,
+    victims: () => [],
     claim,
     gpuBusy: false,
+    freeInS: () => 0,
   };
 }
 
@@ -74,7 +76,8 @@
   spec: JobSpec;
   /** Tasks without result or attempt. */
   pending: number;
-  /** How many more its team's limit allows now; shared by the jobs of a team through `quota`. */
+  /** Tasks to place now at the most: a large job that has waited long begins with a few. */
+  limit: number;
   guaranteed: boolean;
   /** Tasks that may be somewhere, by zone. */
   zones: Map<string, number>;
@@ -83,6 +86,10 @@
   quickS: number | null;
   /** Where a move wants it; null: anywhere. */
   prefer: string | null;
+  /** Seconds that one of its tasks is expected to run. */
+  taskS: number;
+  /** It has waited so long that room is kept for it, though not all of it is there. */
+  aged: boolean;
 }
 
 export interface QuotaView {
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -10,6 +10,8 @@
     id,
     priority: 1,
     guaranteed: false,
+    gpus: false,
+    aged: false,
     duesS,
     taskS: 1,
     work,
