--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -36,8 +36,9 @@
       else return;
     } else a.stop = newStop(this.r.o.clock.nowMs(), graceS);
     if (!a.inherited && a.sentToken < 0) {
-      // Never sent, so there is nothing to stop.
+      // Never sent, so there is nothing to stop; but a gang that lacks it never starts.
       this.gone(a);
+      if (a.job.spec.kind === "gang") this.breakGang(a.job);
       return;
     }
     this.r.supervisor.sendSoon(a.machine);
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -438,7 +438,7 @@
         // A session that the start doesn't name, or a token above it, tells what became of it.
         raise ||= a.sentToken >= m.token && now - a.sentMs > 4000;
       } else if (a.sentToken < 0 && !a.inherited && !m.hears && now - a.plannedMs > HOLD_BACK_MS) {
-        this.r.attempts.stopAttempt(a, 0);
+        this.r.attempts.stopOrderly(a);
         break;
       }
     }
