--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -11,12 +11,28 @@
     w.crash(w.leader ?? "n0", backMs);
 const node = (w: World): string => `${w.leader ?? "n0"}:80`;
 
+function alone(w: World, host: string, forMs: number): void {
+  w.net.cut(
+    (h) => h === host,
+    (h) => h === "state:1" || (/^n\d/.test(h) && h !== host),
+    forMs,
+  );
+}
+
 /** Whole days on stand-ins: whatever fails, no rule breaks, and every accepted job comes to its end. */
-const days: { name: string; repeat?: number; at: [number, Trouble][] }[] = [
+const days: {
+  name: string;
+  repeat?: number;
+  repeatWithinS?: number;
+  /** Played with 5 controllers as well. */
+  grown?: boolean;
+  at: [number, Trouble][];
+}[] = [
   { name: "quiet", at: [] },
   { name: "late copies of old requests", repeat: 0.2, at: [] },
   {
     name: "leader crashes twice",
+    grown: true,
     repeat: 0.05,
     at: [
       [15, crashLeader(3000)],
@@ -39,7 +55,7 @@
       [22, (w) => w.refuse(w.leader ?? "n0")],
     ],
   },
-  { name: "all controllers crash", at: [[20, (w) => w.names.forEach((n) => w.crash(n, 3000))]] },
+  { name: "all controllers crash", grown: true, at: [[20, (w) => w.names.forEach((n) => w.crash(n, 3000))]] },
   {
     name: "rolling restart",
     at: [
@@ -48,7 +64,7 @@
       [30, (w) => w.crash("n2", 2000)],
     ],
   },
-  { name: "state outage longer than the leases", at: [[15, (w) => w.state.outage(20_000)]] },
+  { name: "state outage longer than the leases", grown: true, at: [[15, (w) => w.state.outage(20_000)]] },
   {
     name: "state outage with a crash of the leader",
     at: [
@@ -156,8 +172,73 @@
       ],
     ],
   },
+  {
+    name: "a machine is heard, but answers and commands don't reach it",
+    grown: true,
+    at: [
+      [
+        12,
+        (w) => {
+          const deaf = new Set([...w.workers.values()].slice(0, 2).map((x) => x.tuft.address));
+          w.net.cut(
+            () => true,
+            (h) => deaf.has(h),
+            22_000,
+            true,
+          );
+        },
+      ],
+    ],
+  },
+  {
+    name: "a machine's reports get no answer, but commands reach it",
+    grown: true,
+    at: [10, 14, 18, 22, 26].map((s) => [
+      s,
+      (w: World) => [...w.workers.keys()].slice(0, 4).forEach((n) => w.ignoreReports(n, 9500)),
+    ]),
+  },
+  {
+    name: "copies of reports come well over a lease late, also to new leaders",
+    repeat: 0.3,
+    repeatWithinS: 35,
+    grown: true,
+    at: [
+      [14, crashLeader(3000)],
+      [15, (w) => [...w.workers.keys()].slice(0, 2).forEach((n) => w.cloud.take(n))],
+      [26, crashLeader(90)],
+      [38, crashLeader(3000)],
+    ],
+  },
+  {
+    name: "a controller loses the state service and the others, but not its workers",
+    repeat: 0.05,
+    grown: true,
+    at: [
+      [12, (w) => alone(w, node(w), 18_000)],
+      [
+        34,
+        (w) =>
+          alone(
+            w,
+            w.names.map((n) => `${n}:80`).find((h) => h !== node(w))!,
+            14_000,
+          ),
+      ],
+    ],
+  },
+  {
+    name: "processes back within a fraction of a second, with repeats",
+    repeat: 0.15,
+    grown: true,
+    at: [12, 12.4, 20, 20.2, 20.5, 31].map((s, i) => [
+      s,
+      (w: World) => w.crash(i % 2 ? w.names[i % w.names.length]! : (w.leader ?? "n0"), 60 + i * 40),
+    ]),
+  },
   {
     name: "much at once",
+    grown: true,
     repeat: 0.1,
     at: [
       [12, (w) => w.state.outage(9000)],
@@ -181,18 +262,23 @@
   },
 ];
 
+async function play(w: World, day: (typeof days)[number]): Promise<void> {
+  w.net.repeatShare = day.repeat ?? 0;
+  w.net.repeatWithinMs = (day.repeatWithinS ?? 20) * 1000;
+  await w.run(3);
+  for (const [atS, trouble] of day.at) w.clock.after(atS * 1000, () => trouble(w));
+  w.calmFromMs = w.clock.nowMs() + 60_000;
+  await w.mixedWork(40);
+  await w.run(110);
+  assert.deepEqual(w.broken, []);
+  assert.deepEqual(w.unfinished(), [], "every accepted job is done or cancelled");
+  assert.ok(w.started > 20, `tasks were started (${w.started})`);
+}
+
 for (const [index, day] of days.entries()) {
-  test(`a day: ${day.name}`, async () => {
-    const w = new World(100 + index);
-    w.net.repeatShare = day.repeat ?? 0;
-    await w.run(3);
-    for (const [atS, trouble] of day.at) w.clock.after(atS * 1000, () => trouble(w));
-    await w.mixedWork(40);
-    await w.run(110);
-    assert.deepEqual(w.broken, []);
-    assert.deepEqual(w.unfinished(), [], "every accepted job is done or cancelled");
-    assert.ok(w.started > 20, `tasks were started (${w.started})`);
-  });
+  test(`a day: ${day.name}`, () => play(new World(100 + index), day));
+  if (day.grown)
+    test(`a day with 5 controllers: ${day.name}`, () => play(new World(500 + index, { size: 5 }), day));
 }
 
 /**
--- a/test/standins/net.ts
+++ b/test/standins/net.ts
@@ -13,14 +13,17 @@
   a: (host: string) => boolean;
   b: (host: string) => boolean;
   untilMs: number;
+  /** Only what goes from a to b is held. */
+  oneWay: boolean;
 }
 
 /** The network between stand-ins: delays, cuts that hold packets and deliver them late, repeated requests. */
 export class SimNet {
   private readonly hosts = new Map<string, SimHost>();
   private cuts: Cut[] = [];
-  /** Share of requests that come a second time, seconds later, long after they were answered. */
+  /** Share of requests that come a second time, so much later at the most, long after they were answered. */
   repeatShare = 0;
+  repeatWithinMs = 20_500;
 
   constructor(
     private readonly clock: SimClock,
@@ -35,8 +38,8 @@
     this.hosts.delete(address);
   }
 
-  cut(a: (host: string) => boolean, b: (host: string) => boolean, forMs: number): void {
-    this.cuts.push({ a, b, untilMs: this.clock.nowMs() + forMs });
+  cut(a: (host: string) => boolean, b: (host: string) => boolean, forMs: number, oneWay = false): void {
+    this.cuts.push({ a, b, untilMs: this.clock.nowMs() + forMs, oneWay });
   }
 
   /** Runs `deliver` when a packet sent now arrives: after the cut, when there is one. */
@@ -45,7 +48,8 @@
     this.cuts = this.cuts.filter((c) => c.untilMs > now);
     let at = now + 1 + this.random() * 4;
     for (const c of this.cuts) {
-      if ((c.a(from) && c.b(to)) || (c.a(to) && c.b(from))) at = Math.max(at, c.untilMs + this.random() * 5);
+      if ((c.a(from) && c.b(to)) || (!c.oneWay && c.a(to) && c.b(from)))
+        at = Math.max(at, c.untilMs + this.random() * 5);
     }
     this.clock.after(at - now, deliver);
   }
@@ -83,7 +87,7 @@
           };
           this.carry(from, address, () => arrive(true));
           if (method === "POST" && this.random() < this.repeatShare) {
-            this.clock.after(500 + this.random() * 20_000, () => arrive(false));
+            this.clock.after(500 + this.random() * (this.repeatWithinMs - 500), () => arrive(false));
           }
         }),
     };
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -50,17 +50,34 @@
   toldMs: number;
   cancelAsked: boolean;
   done: Set<string>;
+  /** When one of its questions was last answered. */
+  answeredMs: number;
+  /** When the first of its tasks began. */
+  beganMs: number | null;
 }
 
-const LIMITS = { one: { cpus: 20, gpus: 4 }, two: { cpus: 24, gpus: 4 } };
+type Limits = Record<"one" | "two", { cpus: number; gpus: number }>;
+const LIMITS: Limits = { one: { cpus: 20, gpus: 4 }, two: { cpus: 24, gpus: 4 } };
 
-export function platformOf(name: string, nodes: string[]): Platform {
+export interface WorldOptions {
+  /** Controllers. */
+  size?: number;
+  /** Machines that the cloud has. */
+  capacity?: number;
+  limits?: Limits;
+  objectives?: Platform["objectives"];
+}
+
+/** A job about which no question is answered for so long is forgotten. */
+const FORGOTTEN_MS = 75_000;
+
+export function platformOf(name: string, nodes: string[], limits = LIMITS): Platform {
   const team = (n: "one" | "two"): Platform["teams"][number] => ({
     name: n,
     cpus: 8,
-    cpusMax: LIMITS[n].cpus,
+    cpusMax: limits[n].cpus,
     gpus: 2,
-    gpusMax: LIMITS[n].gpus,
+    gpusMax: limits[n].gpus,
   });
   return {
     node: name,
@@ -119,8 +136,17 @@
   private lives = 0;
   readonly random: () => number;
 
-  constructor(seed: number, size = 3) {
-    this.names = Array.from({ length: size }, (_, i) => `n${i}`);
+  private readonly limits: Limits;
+  /** From here on nothing goes wrong any more. */
+  calmFromMs = 0;
+  private readonly unanswered = new Map<string, number>();
+
+  constructor(
+    seed: number,
+    private readonly options: WorldOptions = {},
+  ) {
+    this.limits = options.limits ?? LIMITS;
+    this.names = Array.from({ length: options.size ?? 3 }, (_, i) => `n${i}`);
     const rng = xoroshiro128plus(seed);
     this.random = () => (rng.next() >>> 0) / 2 ** 32;
     this.net = new SimNet(this.clock, this.random);
@@ -160,9 +186,15 @@
         this.workers.delete(t.ref);
       },
     );
+    this.cloud.capacity = options.capacity ?? 12;
     for (const name of this.names) this.boot(name);
   }
 
+  /** That worker's reports get no answer anywhere, though commands reach it. */
+  ignoreReports(ref: string, forMs: number): void {
+    this.unanswered.set(ref, this.clock.nowMs() + forMs);
+  }
+
   get leader(): string | null {
     const hold = this.state.keys.get("lead/hold")?.data as { node: string } | undefined;
     return hold?.node ?? null;
@@ -172,28 +204,34 @@
     const life = `life-${++this.lives}`;
     const node: SimNode = { alive: true, controller: null as unknown as Controller, links: new Map() };
     const caller = this.net.caller(`${name}:80`, () => node.alive);
-    node.controller = new Controller(platformOf(name, this.names), operatorDefaults, {
-      clock: this.clock,
-      state: caller,
-      cloud: caller,
-      workers: caller,
-      peers: {
-        send: (peer, payload) => {
-          if (!node.alive) return false;
-          const copy = Buffer.from(payload);
-          this.net.carry(`${name}:80`, `${peer}:80`, () => {
-            const other = this.nodes.get(peer);
-            if (other?.alive) deliver(other, life, name, copy);
-          });
-          return true;
+    node.controller = new Controller(
+      { ...platformOf(name, this.names, this.limits), objectives: this.options.objectives ?? [] },
+      operatorDefaults,
+      {
+        clock: this.clock,
+        state: caller,
+        cloud: caller,
+        workers: caller,
+        peers: {
+          send: (peer, payload) => {
+            if (!node.alive) return false;
+            const copy = Buffer.from(payload);
+            this.net.carry(`${name}:80`, `${peer}:80`, () => {
+              const other = this.nodes.get(peer);
+              if (other?.alive) deliver(other, life, name, copy);
+            });
+            return true;
+          },
         },
+        life,
+        random: this.random,
       },
-      life,
-      random: this.random,
-    });
+    );
     this.nodes.set(name, node);
     this.net.listen(`${name}:80`, (q, answer) => {
       if (!node.alive) return;
+      const tuft = (q.body as { tuft?: string } | undefined)?.tuft;
+      if (q.path === "/checkin" && (this.unanswered.get(tuft ?? "") ?? 0) > this.clock.nowMs()) return;
       const body = Buffer.from(q.body === undefined ? "" : JSON.stringify(q.body));
       node.controller.onRequest({ method: q.method, path: q.path, body }, (a) => {
         if (node.alive) answer({ status: a.status, body: a.body });
@@ -261,6 +299,8 @@
       toldMs: Infinity,
       cancelAsked: false,
       done: new Set(),
+      answeredMs: this.clock.nowMs(),
+      beganMs: null,
     };
     this.jobs.set(spec.ref, job);
     const attempt = (): void => {
@@ -304,14 +344,27 @@
       this.ask("GET", `/v1/jobs/${job.spec.ref}`).then(
         (r) => {
           if (r.status === 404) this.broken.push(`forgotten ${job.spec.ref}`);
-          if (r.status === 200) this.hear(job, r, sentMs);
-          this.poll(job);
+          if (r.status === 200) {
+            job.answeredMs = this.clock.nowMs();
+            this.hear(job, r, sentMs);
+          }
+          this.again(job);
         },
-        () => this.poll(job),
+        () => this.again(job),
       );
     });
   }
 
+  /** Each job for itself: that others are answered is no excuse. */
+  private again(job: SimJob): void {
+    const now = this.clock.nowMs();
+    if (now - Math.max(job.answeredMs, this.calmFromMs) > FORGOTTEN_MS) {
+      this.broken.push(`forgotten ${job.spec.ref}: no question answered since ${job.answeredMs}`);
+      job.answeredMs = now;
+    }
+    this.poll(job);
+  }
+
   private hear(job: SimJob, r: Reply, sentMs: number): void {
     const { phase } = r.body as { phase: string };
     // Asked before it was told, and only come in after: no older answer than that.
@@ -358,6 +411,7 @@
       this.broken.push(`invented start ${task.spore}`);
       return;
     }
+    job.beganMs ??= this.clock.nowMs();
     const { spec } = job;
     const others = this.live(ref).filter((x) => x.task !== task);
     if (others.some((x) => x.task.spore === task.spore)) this.broken.push(`ran_twice ${task.spore}`);
@@ -380,7 +434,7 @@
       use.cpus += n * other.spec.cores;
       use.gpus += n * Number(other.spec.gpus);
     }
-    const limit = LIMITS[spec.crew as "one" | "two"];
+    const limit = this.limits[spec.crew as "one" | "two"];
     if (use.cpus > limit.cpus || use.gpus > limit.gpus)
       this.broken.push(`quota ${spec.crew}: ${JSON.stringify(use)}`);
   }
