--- /dev/null
+++ b/test/fair.test.ts
@@ -0,0 +1,229 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { place, type Hold } from "../src/coordination/placement.js";
+import { emptyView, type JobView, type MachineView } from "../src/coordination/views.js";
+import type { JobSpec, MachineType } from "../src/protocol/model.js";
+import { World } from "./standins/world.js";
+
+const ROOMY = { one: { cpus: 5000, gpus: 500 }, two: { cpus: 5000, gpus: 500 } };
+
+/**
+ * Smaller work that keeps coming takes every machine that comes free, for ever, unless room is kept for who has waited
+ * long. The largest must begin within four minutes, and the small ones must not stand still for it.
+ */
+test("a gang of 32 whole machines in one zone begins under a steady stream of small gangs", async () => {
+  const w = new World(21, { size: 5, capacity: 44, limits: ROOMY });
+  await w.run(3);
+  const gang = { form: "ensemble", gpus: 2, cores: 8, memoryGb: 30, together: true, cairnS: 2, stashS: 1 };
+  let n = 0;
+  const small = (): void => {
+    w.submit({ ...gang, ref: `job-1${String(n++).padStart(5, "0")}`, crew: "two", spores: 1 }, 12);
+  };
+  for (let i = 0; i < 40; i++) small();
+  await w.run(20);
+  const big = w.submit({ ...gang, ref: "job-000032", crew: "one", spores: 32 }, 10);
+  for (let s = 0; s < 240 && big.beganMs === null; s++) {
+    small();
+    small();
+    await w.run(1);
+  }
+  assert.ok(big.beganMs !== null, "began within four minutes");
+  assert.deepEqual(w.broken, []);
+  await w.run(45);
+  const jobs = [...w.jobs.values()];
+  const begun = jobs.filter((j) => j.beganMs !== null).length;
+  assert.ok(begun * 2 > jobs.length, `${begun} of ${jobs.length} begun`);
+  assert.equal(big.told, "done");
+});
+
+test("an array of 300 tasks begins though smaller ones with nearer deadlines never end", async () => {
+  const w = new World(22, { size: 5, capacity: 10, limits: ROOMY });
+  await w.run(3);
+  let n = 0;
+  const small = (): void => {
+    const ref = `job-1${String(n++).padStart(5, "0")}`;
+    w.submit({ ref, crew: "two", spores: 8, cores: 2, memoryGb: 4, dueS: 30 }, 6);
+  };
+  for (let i = 0; i < 15; i++) small();
+  await w.run(15);
+  const big = w.submit({ ref: "job-000300", crew: "one", spores: 300, cores: 2, memoryGb: 4, dueS: 60 }, 6);
+  for (let s = 0; s < 240 && big.beganMs === null; s++) {
+    small();
+    if (s % 2) small();
+    await w.run(1);
+  }
+  assert.ok(big.beganMs !== null, "began within four minutes");
+  assert.deepEqual(w.broken, []);
+});
+
+/** Hearing a machine is no proof that it hears us: placed there, work would wait until a lease proves it gone. */
+test("a machine that answers and commands don't reach gets no new work, and is trusted again afterwards", async () => {
+  const w = new World(23, { size: 5, capacity: 4 });
+  await w.run(3);
+  const service = { form: "standing", rank: "prod", cores: 2, windfall: false };
+  w.submit({ ref: "job-000001", ...service, spores: 6, memoryGb: 8 }, null);
+  await w.run(20);
+  const deaf = [...w.workers.values()].find((x) => x.tasks.size > 0)!;
+  const address = deaf.tuft.address;
+  w.net.cut(
+    () => true,
+    (h) => h === address,
+    30_000,
+    true,
+  );
+  await w.run(0.5);
+  // What is on its way when it falls deaf is lost; whatever comes after that goes elsewhere.
+  const first = w.submit({ ref: "job-000002", crew: "two", spores: 12, cores: 1, memoryGb: 1 }, 2);
+  await w.run(12);
+  const late = Array.from({ length: 6 }, (_, i) =>
+    w.submit({ ref: `job-00010${i}`, crew: "two", spores: 1, cores: 1, memoryGb: 1 }, 2),
+  );
+  await w.run(8);
+  for (const j of late)
+    assert.ok(j.beganMs !== null && j.beganMs - j.askedMs < 6000, `${j.spec.ref} began at once`);
+  await w.run(40);
+  assert.equal(first.told, "done");
+  assert.deepEqual(w.broken, []);
+  assert.equal(w.live("job-000001").length, 6);
+});
+
+function type(name: string, cpus: number): MachineType {
+  return {
+    name,
+    cpus,
+    gpus: 0,
+    memoryGb: cpus * 4,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.3,
+    bootS: 30,
+    zones: ["a", "b"],
+  };
+}
+
+function job(i: number, change: Partial<JobSpec> = {}): JobView {
+  const spec: JobSpec = {
+    id: `job-${i}`,
+    className: "c",
+    team: "t",
+    kind: "array",
+    priority: 1,
+    tasks: 40,
+    cpus: 2,
+    gpus: 0,
+    memoryGb: 4,
+    image: `img-${i % 12}`,
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 20,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...change,
+  };
+  return {
+    spec,
+    pending: spec.tasks,
+    limit: Infinity,
+    guaranteed: false,
+    zones: new Map(),
+    avoid: new Set(),
+    quickS: null,
+    prefer: null,
+    taskS: 20,
+    aged: false,
+  };
+}
+
+function input(jobs: JobView[], machines: MachineView[], holds: Hold[] = []): Parameters<typeof place>[0] {
+  return {
+    jobs,
+    machines,
+    coming: [],
+    holds,
+    quota: { room: () => Infinity, take: () => undefined },
+    maxEvictions: 40,
+    maxMakers: 8,
+    mayStop: () => false,
+    refused: () => false,
+    guaranteed: () => true,
+    nowMs: 0,
+  };
+}
+
+function machines(n: number, full: (i: number) => boolean): MachineView[] {
+  return Array.from({ length: n }, (_, i) => {
+    const view = emptyView(type("m", 16), i % 2 ? "a" : "b", false, null);
+    view.name = `host-${i}`;
+    if (full(i)) view.free = { cpus: 0, gpus: 0, memoryGb: 0 };
+    return view;
+  });
+}
+
+test("a pass over hundreds of full machines looks at those with room, not at jobs times machines", () => {
+  const jobs = Array.from({ length: 120 }, (_, i) => job(i));
+  const plan = place(
+    input(
+      jobs,
+      machines(600, (i) => i % 100 !== 0),
+    ),
+  );
+  assert.equal(
+    plan.placements.reduce((n, p) => n + p.tasks, 0),
+    6 * 8,
+    "what room there is, is used",
+  );
+  // Once for the list of those with room, then a handful for each job until nothing is left.
+  assert.ok(plan.looked < 600 + 120 * 6 + 1, `${plan.looked} looks`);
+  const idle = place(
+    input(
+      [job(1), job(2)],
+      machines(600, () => false),
+    ),
+  );
+  assert.ok(idle.looked <= 3 * 600, `${idle.looked} looks with room everywhere`);
+});
+
+test("room kept for a gang is lent to what is over before the rest of it comes, and to nothing else", () => {
+  const gang = job(9, { kind: "gang", tasks: 3, cpus: 16, memoryGb: 10, oneZone: true });
+  gang.aged = true;
+  const start = place(
+    input(
+      [gang],
+      machines(6, (i) => i > 3),
+    ),
+  );
+  assert.equal(start.placements.length, 0, "two in each zone do not hold a gang of three");
+  assert.equal(start.holds.length, 2);
+  const cases: [string, number, boolean][] = [
+    ["short", 5, true],
+    ["long", 500, false],
+  ];
+  for (const [name, taskS, want] of cases) {
+    const other = job(1, {
+      tasks: 1,
+      cpus: 16,
+      memoryGb: 10,
+      zone: start.holds[0]!.machine === "host-0" ? "b" : "a",
+    });
+    other.taskS = taskS;
+    const holds = start.holds.map((h) => ({ ...h, etaS: 60 }));
+    const plan = place(
+      input(
+        [other, gang],
+        machines(6, (i) => i > 3),
+        holds,
+      ),
+    );
+    assert.equal(
+      plan.placements.some((p) => p.jobId === "job-1"),
+      want,
+      name,
+    );
+  }
+});
