Room made for a job is lent to nobody; starts planned on a machine that falls deaf go elsewhere

Found by the test of a deaf machine: a service that was stopped for a guaranteed job took the room back every pass, since held room was lent to whatever ends soon and a service's run time was taken as 1 s.

--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -472,8 +472,8 @@
         addTo(m.leaving, v);
         this.plan.evictions.push({ ref: v.ref, jobId: spec.id });
       }
-      // The room is spoken for: no lesser job may take it in the meantime.
-      this.hold(job, m, tasks, 5);
+      // The room is spoken for: nobody may take it in the meantime, least of all who was just stopped for it.
+      this.hold(job, m, tasks, 0);
       count(job, m.zone, tasks);
     }
     this.i.quota.take(spec, want - missing);
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -186,7 +186,7 @@
       spec: e.job.spec,
       pending: e.job.pending,
       limit: e.aged && e.job.spec.kind === "array" ? Math.max(4, Math.ceil(e.job.spec.tasks / 8)) : Infinity,
-      taskS: e.taskS,
+      taskS: e.job.spec.kind === "service" ? Infinity : e.taskS,
       aged: e.aged,
       guaranteed: e.guaranteed,
       zones,
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -342,6 +342,8 @@
       // Sent, and no answer: it may not hear us. The next one goes another way, under a token that proves it does.
       this.detour.add(m.name);
       if (!result.neverSent) m.doubt(now);
+      // What was planned there in the meantime was never sent: it need not wait for any proof.
+      if (!m.hears) this.giveUpUnsent(m, Infinity);
     }
   }
 
@@ -418,6 +420,14 @@
     }
   }
 
+  /** Starts that were planned before then and never sent go elsewhere. */
+  private giveUpUnsent(m: Machine, beforeMs: number): void {
+    for (const a of [...m.attempts]) {
+      if (a.sentToken < 0 && !a.inherited && a.plannedMs < beforeMs && m.attempts.has(a))
+        this.r.attempts.stopOrderly(a);
+    }
+  }
+
   private leaseIsOver(m: Machine, now: number): boolean {
     const { r } = this;
     // Nobody of an earlier term can have renewed it after `othersSilentFromMs`.
@@ -428,6 +438,7 @@
 
   /** Says again what has shown no effect yet. */
   private remind(m: Machine, now: number, silence: number): void {
+    if (!m.hears || silence > HOLD_BACK_MS) this.giveUpUnsent(m, now - HOLD_BACK_MS);
     if (silence > 3000 || this.errands.has(m.name)) return;
     let due = !m.hears && now - m.probedMs > PROBE_MS;
     let raise = false;
@@ -437,9 +448,6 @@
         due = true;
         // A session that the start doesn't name, or a token above it, tells what became of it.
         raise ||= a.sentToken >= m.token && now - a.sentMs > 4000;
-      } else if (a.sentToken < 0 && !a.inherited && !m.hears && now - a.plannedMs > HOLD_BACK_MS) {
-        this.r.attempts.stopOrderly(a);
-        break;
       }
     }
     due ||= now - m.probedMs > REAP_MS && m.reported.some((t) => t.phase === "exited");
