--- a/src/coordination/lore.ts
+++ b/src/coordination/lore.ts
@@ -11,6 +11,11 @@
   claims = 0;
   private readonly gpuClasses = new Map<string, JobSpec>();
 
+  /** Spot machines taken with notice, and how long all of them ran; begins with a guess of one in an hour. */
+  private taken = 1;
+  private spotH = 1;
+  private spotSeenMs = -Infinity;
+
   constructor(readonly controllerZones: Set<string>) {}
 
   typeNamed(name: string): MachineType | null {
@@ -27,6 +32,21 @@
     return changed;
   }
 
+  spotTaken(): void {
+    this.taken++;
+  }
+
+  /** So many spot machines are up now. */
+  spotRan(machines: number, nowMs: number): void {
+    const sinceMs = nowMs - this.spotSeenMs;
+    if (sinceMs < 2000) this.spotH += (machines * sinceMs) / 3_600_000;
+    this.spotSeenMs = nowMs;
+  }
+
+  get takenPerH(): number {
+    return this.taken / this.spotH;
+  }
+
   /** Remembers what work with accelerators looks like, class by class. */
   profile(spec: JobSpec): void {
     if (spec.gpus <= 0 || this.gpuClasses.has(spec.className)) return;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -48,6 +48,8 @@
   /** The cloud has lately had nothing there for it. */
   refused: (spec: JobSpec, zone: string) => boolean;
   guaranteed: (jobId: string) => boolean;
+  /** How often a spot machine is taken in an hour, as seen so far. */
+  takenPerH: number;
   nowMs: number;
 }
 
@@ -59,18 +61,31 @@
   return (m.backlogGb + spec.imageGb) / rate;
 }
 
+/** What an ordinary machine costs more than a spot one weighs so many seconds of a gang's start at the most. */
+const GANG_SPOT_S = 40;
+/** Seconds until a stopped gang runs again, if there is room. */
+const RESTART_S = 20;
+/** Seconds of a start that one more place left in a zone is worth to a gang that comes after. */
+const SPARE_S = 0.2;
+
 /** Lower is better; roughly seconds. */
-function cost(job: JobView, m: MachineView): number {
+function cost(job: JobView, m: MachineView, nowMs: number, takenPerH: number): number {
   const { spec } = job;
   let c = fetchDelayS(spec, m);
   if (job.prefer === m.name) c -= 10;
   // Cheap machines for whoever may use them: the others are left to those who may not.
-  if (spec.spot && !m.spot) c += 4;
+  if (spec.spot && spec.kind === "gang") {
+    // A gang stops whole when one of its machines is taken: the larger it is, the more an ordinary one is worth.
+    if (m.spot) c += (takenPerH / 3600) * job.taskS * spec.tasks * (RESTART_S + spec.checkpointS / 2);
+    else c += GANG_SPOT_S * (1 - m.type.spotPrice / Math.max(m.type.price, 1e-9));
+  } else if (spec.spot && !m.spot) c += 4;
   if (spec.gpus === 0 && m.type.gpus > 0) c += 8;
   // A zone without controllers is silent when it is cut off, and its leases run out.
   if (spec.kind === "service" && !m.withControllers) c += 3;
   // Dear machines last, so that they are the ones that empty and are given back.
-  c += Math.min(6, (m.spot ? m.type.spotPrice : m.type.price) / 5);
+  c += Math.min(12, (m.spot ? m.type.spotPrice : m.type.price) / 2.5);
+  // What has been idle longest is left idle, until it is given back.
+  if (m.idleSinceMs !== null) c += Math.min(4, Math.max(0, nowMs - m.idleSinceMs) / 5000);
   // Fuller machines first, so that whole machines stay empty and can be given back.
   const load = 1 - m.free.cpus / Math.max(m.type.cpus, 1e-6);
   c += (1 - load) * 2;
@@ -260,8 +275,11 @@
     for (const zone of zones) {
       const chosen = this.choose(job, want, Infinity, zone);
       const have = sum(chosen);
-      const price = chosen.reduce((total, p) => total + p.tasks * cost(job, p.machine), 0);
-      if (have >= want && (!best || price < best.price)) best = { zone, chosen, price };
+      const price = chosen.reduce((total, p) => total + p.tasks * this.cost(job, p.machine), 0);
+      // Small gangs go where little is left, so that a large one finds enough in the other zone.
+      const spare = have >= want ? (this.roomIn(job, zone) - want) * SPARE_S * want : 0;
+      if (have >= want && (!best || price + spare < best.price))
+        best = { zone, chosen, price: price + spare };
       const soon = have >= want ? 0 : this.comingRoom(job, want - have, zone);
       // Where the rest can't be had, it has to wait for others to end.
       const rest = want - have - soon > 0 && zone !== null && this.i.refused(spec, zone);
@@ -289,6 +307,21 @@
     if (!whole) this.plan.unplaced.push({ job, tasks: want - have - soon, zone });
   }
 
+  private cost(job: JobView, m: MachineView): number {
+    return cost(job, m, this.i.nowMs, this.i.takenPerH);
+  }
+
+  /** Tasks of it that the zone's open machines hold. */
+  private roomIn(job: JobView, zone: string | null): number {
+    let n = 0;
+    for (const m of this.open) {
+      if (zone !== null && m.zone !== zone) continue;
+      if (fits(job.spec, m.free) && allows(job.spec, m.type.name, m.zone, m.spot))
+        n += howMany(job.spec, m.free);
+    }
+    return n;
+  }
+
   private zonesOf(spec: JobSpec): (string | null)[] {
     const zones = new Set<string>();
     for (const m of this.i.machines) if (m.type.gpus >= spec.gpus) zones.add(m.zone);
@@ -369,7 +402,7 @@
       // Fetches share the line: lesser work begins none of its own while greater work waits for its image.
       if (m.fetchRank > spec.priority && !m.images.has(spec.image) && !m.fetching.has(spec.image)) continue;
       if (fetchDelayS(spec, m) > withinS) continue;
-      candidates.push({ m, c: cost(job, m) });
+      candidates.push({ m, c: this.cost(job, m) });
     }
     if (fitting === 0) this.hopeless.push(spec);
     candidates.sort((a, b) => a.c - b.c || (a.m.name < b.m.name ? -1 : 1));
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -107,6 +107,7 @@
         const job = r.jobs.get(id);
         return job !== undefined && guaranteed.has(job);
       },
+      takenPerH: lore.takenPerH,
       nowMs: now,
     });
     for (const v of plan.touched) this.views.delete(v.name);
@@ -115,6 +116,11 @@
     r.fleet.rent(plan, coming);
   }
 
+  /** Room there is kept for somebody, so it is not idle. */
+  holdsRoomOn(machine: string): boolean {
+    return this.holds.some((h) => h.machine === machine);
+  }
+
   /** A hold lasts a while from when it was first made, so that nothing is kept for ever for a job that can't come. */
   private keepHolds(holds: Hold[], now: number): void {
     const before = new Map(this.holds.map((h) => [`${h.jobId} ${h.machine}`, h.untilMs]));
@@ -223,6 +229,7 @@
   private build(m: Machine, type: MachineType): MachineView {
     const view = emptyView(type, m.zone, m.spot, this.lore.claimOn(type, m.spot));
     view.name = m.name;
+    view.idleSinceMs = m.state === "up" ? m.idleSinceMs : null;
     view.free.cpus -= m.used.cpus;
     view.free.gpus -= m.used.gpus;
     view.free.memoryGb -= m.used.memoryGb;
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -135,6 +135,7 @@
     if (report.noticeS !== null) {
       if (m.takenAtMs === null) {
         m.noticeNew = true;
+        this.lore.spotTaken();
         log.info(`${m.name}: will be taken in ${report.noticeS.toFixed(1)} s`);
       }
       m.takenAtMs = now + report.noticeS * 1000;
@@ -355,13 +356,16 @@
     // When most of a zone is silent at once, its machines are probably well and only we can't hear them:
     // their leases prove their tasks gone, and giving all of them back would leave nothing to come back to.
     const zones = new Map<string, { up: number; silent: number }>();
+    let spotUp = 0;
     for (const m of this.r.machines.values()) {
       if (m.state !== "up") continue;
+      if (m.spot) spotUp++;
       const z = zones.get(m.zone) ?? { up: 0, silent: 0 };
       z.up++;
       if (now - m.lastHeardMs > operator.suspectS * 1000) z.silent++;
       zones.set(m.zone, z);
     }
+    this.lore.spotRan(spotUp, now);
     for (const m of [...this.r.machines.values()]) {
       if (m.state === "leaving") continue;
       if (m.cordoned && now > m.cordonUntilMs) m.cordoned = false;
@@ -402,6 +406,7 @@
         else if (
           silence < operator.suspectS * 1000 &&
           now - m.idleSinceMs > operator.idleKeepS * 1000 &&
+          !this.r.placer.holdsRoomOn(m.name) &&
           now - m.bornMs > 58_000
         )
           this.r.fleet.remove(m, "idle");
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -40,6 +40,8 @@
   claim: Claim | null;
   /** Such work runs here now, so that the machine is paid for anyway. */
   gpuBusy: boolean;
+  /** Since when nothing runs here; null: something does, or it is not up. */
+  idleSinceMs: number | null;
   /** Seconds until what runs here should be over. */
   freeInS: (nowMs: number) => number;
 }
@@ -68,6 +70,7 @@
     victims: () => [],
     claim,
     gpuBusy: false,
+    idleSinceMs: null,
     freeInS: () => 0,
   };
 }
--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -162,6 +162,7 @@
     mayStop: () => false,
     refused: () => false,
     guaranteed: () => true,
+    takenPerH: 1,
     nowMs: 0,
   };
 }
