--- a/src/coordination/election.ts
+++ b/src/coordination/election.ts
@@ -67,6 +67,8 @@
   | { kind: "behind"; term: number }
   | { kind: "refused"; peer: string };
 
+/** A renewal without an answer is tried again after this. */
+const RENEW_MS = 1300;
 /** How long a vouching counts, from when it was asked for. */
 export const VOUCH_MS = 2000;
 /** A peer vouches only if it was refused this recently, and served no later than that. */
@@ -203,7 +205,7 @@
     if (this.mine) {
       const { term, lease } = this.mine;
       void this.o.state
-        .renewLease(lease, sentMs + 900)
+        .renewLease(lease, sentMs + RENEW_MS)
         .then((outcome) => this.tell({ kind: "renewed", term, outcome, sentMs }));
     } else {
       void this.o.state.list(keys.lead, sentMs + 1500).then((list) => {
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -424,9 +424,13 @@
 
   private mayEvict(job: JobView, victim: VictimView): boolean {
     if (victim.jobId === job.spec.id) return false;
-    if (victim.priority < job.spec.priority) return true;
-    // So that a team gets its guarantee, what another team borrows may be stopped.
-    return job.guaranteed && victim.team !== job.spec.team && !this.i.guaranteed(victim.jobId);
+    if (victim.team === job.spec.team) return victim.priority < job.spec.priority;
+    const borrowed = !this.i.guaranteed(victim.jobId);
+    // So that a team gets its guarantee, what another team borrows may be stopped. And what borrows stops nothing that
+    // is guaranteed, whatever its priority: it would be stopped for it in turn, and so on for ever.
+    return job.guaranteed
+      ? borrowed || victim.priority < job.spec.priority
+      : borrowed && victim.priority < job.spec.priority;
   }
 
   /** Who would have to go so that one more task fits; null: nobody's going helps. */
--- a/src/coordination/reign.ts
+++ b/src/coordination/reign.ts
@@ -14,8 +14,8 @@
 import { Supervisor } from "./supervisor.js";
 
 /** A leader that is this far behind, for so long, hands over to one that is not. */
-const BEHIND_MS = 300;
-const BEHIND_FOR_MS = 3000;
+const BEHIND_MS = 700;
+const BEHIND_FOR_MS = 6000;
 
 /** Everything that one term's leader knows, by the part that owns it. Thrown away whole with the term. */
 export class Reign {
@@ -109,7 +109,7 @@
     const lagMs = this.o.lagMs();
     if (lagMs < BEHIND_MS) this.behindSinceMs = Infinity;
     else if (this.behindSinceMs === Infinity) this.behindSinceMs = now;
-    if (now - this.behindSinceMs < BEHIND_FOR_MS || now - this.startedMs < 10_000) return;
+    if (now - this.behindSinceMs < BEHIND_FOR_MS || now - this.startedMs < 20_000) return;
     if (this.servers.someoneFaster(lagMs, now)) this.o.onBehind(this.mandate.term);
   }
 
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -82,6 +82,8 @@
     if (r.removed.has(report.machine)) return;
     const m = r.machine(report.machine, report.zone);
     // A machine that we have waited for, and its very first words: nothing older can be on its way.
+    // The answer it has just been given carries our token, and its next report shows it: no need to ask at once.
+    if (m.reportTick === 0) m.probedMs = nowMs + this.o.platform.reportS * 1500 - PROBE_MS;
     const firstWords = m.state === "booting" && report.session === 1 && report.tick === 1;
     const fresh = this.absorb(m, report, nowMs);
     this.acknowledged(m, report.session, report.tick, from, nowMs, heardMs);
@@ -356,6 +358,7 @@
     // When most of a zone is silent at once, its machines are probably well and only we can't hear them:
     // their leases prove their tasks gone, and giving all of them back would leave nothing to come back to.
     const zones = new Map<string, { up: number; silent: number }>();
+    const servers = new Map<string, { up: number; silent: number }>();
     let spotUp = 0;
     for (const m of this.r.machines.values()) {
       if (m.state !== "up") continue;
@@ -364,6 +367,10 @@
       z.up++;
       if (now - m.lastHeardMs > operator.suspectS * 1000) z.silent++;
       zones.set(m.zone, z);
+      const s = servers.get(m.server ?? "") ?? { up: 0, silent: 0 };
+      s.up++;
+      if (now - m.lastHeardMs > operator.suspectS * 1000) s.silent++;
+      servers.set(m.server ?? "", s);
     }
     this.lore.spotRan(spotUp, now);
     for (const m of [...this.r.machines.values()]) {
@@ -390,6 +397,14 @@
       }
       const zone = zones.get(m.zone)!;
       const mass = zone.silent >= 3 && zone.silent * 2 > zone.up;
+      const via = servers.get(m.server ?? "")!;
+      // Most silent spot machines have been taken, and the cloud's answer to their deletion proves it well before their
+      // lease does. Not so when many fall silent that one controller served: then it is the controller.
+      const alone = !mass && (via.silent < 4 || via.silent * 4 < via.up);
+      if (m.spot && alone && m.attempts.size > 0 && silence > operator.spotSilentS * 1000) {
+        this.r.fleet.remove(m, `spot machine silent for ${(silence / 1000).toFixed(1)} s`);
+        continue;
+      }
       if (silence > (mass ? 90_000 : silentAfter)) {
         this.r.fleet.remove(m, `silent for ${(silence / 1000).toFixed(1)} s`);
         continue;
--- a/src/service.ts
+++ b/src/service.ts
@@ -27,7 +27,7 @@
 
 const MAX_BODY = 64 * 1024;
 /** A hold shorter than this would be lost to a slow answer now and then. */
-const HOLD_MS = 3000;
+const HOLD_MS = 4000;
 const PROBE_MS = 500;
 const DIRECT_MS = 3000;
 /** Requests of users under way at one node; more are told to come back. */
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -18,6 +18,8 @@
   suspectS: number;
   /** Silence after which a machine is given back to the cloud. */
   abandonS: number;
+  /** The same for a single spot machine with work on it: it has probably been taken. */
+  spotSilentS: number;
 }
 
 export const operatorDefaults: Operator = {
@@ -28,6 +30,7 @@
   idleKeepS: 25,
   suspectS: 5,
   abandonS: 30,
+  spotSilentS: 7,
 };
 
 const RANGES: Record<keyof Operator, [number, number]> = {
@@ -38,6 +41,7 @@
   idleKeepS: [0, 100_000],
   suspectS: [0.5, 100_000],
   abandonS: [1, 100_000],
+  spotSilentS: [1, 100_000],
 };
 
 /**
