Nodes stay ready in an outage that hits everybody

Cause: for as long as the leader's hold lasted its grants said it was served, so every node refused by the state service called itself unready and the balancer left all of them out for longer and longer pauses. Now the grant says what the leader last met.

--- a/src/coordination/servers.ts
+++ b/src/coordination/servers.ts
@@ -60,10 +60,11 @@
     s: Serving,
     self: { node: string; machines: number; lagMs: number },
     nowMs: number,
-    mandate: { ackUntilMs: number; fullUntilMs: number },
+    ackUntilMs: number,
+    served: boolean,
   ): Grant | null {
     const book = this.books.get(s.from);
-    const forMs = Math.floor(Math.min(GRANT_MS, mandate.ackUntilMs - nowMs));
+    const forMs = Math.floor(Math.min(GRANT_MS, ackUntilMs - nowMs));
     if (!book || forMs <= 0 || (nowMs - book.grantedMs < MIN_GAP_MS && !book.resync)) return null;
     book.grantedMs = nowMs;
     // It counts from when it asked, which was before now.
@@ -82,7 +83,7 @@
       askMs: s.askMs,
       forMs,
       stampMs: Math.floor(nowMs),
-      served: nowMs < mandate.fullUntilMs,
+      served,
       resync,
       homes,
     };
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -49,7 +49,8 @@
     for (const x of s.reports) this.reported(x.report, s.from, now, now - x.ageMs);
     if (local) return;
     const self = { node: this.o.platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
-    const grant = r.servers.grant(s, self, now, r.mandate);
+    const { lastServedSentMs, lastRefusedMs } = this.o.state;
+    const grant = r.servers.grant(s, self, now, r.mandate.ackUntilMs, lastServedSentMs > lastRefusedMs);
     if (grant) this.o.sendGrant(s.from, grant);
   }
 
--- a/src/service.ts
+++ b/src/service.ts
@@ -30,6 +30,9 @@
 const HOLD_MS = 4000;
 const PROBE_MS = 500;
 const DIRECT_MS = 3000;
+/** Refused by the state service for so long, while the leader was served this lately: then it is this node alone. */
+const ALONE_MS = 4000;
+const FRESH_MS = 1200;
 /** Requests of users under way at one node; more are told to come back. */
 const MAX_IN_FLIGHT = 300;
 
@@ -224,14 +227,16 @@
     if (standing > 0 || this.platform.peers.length === 1) this.elector.tell({ kind: "refused", peer });
   }
 
-  /** Ready when requests can be decided here. In an outage that hits everybody, turning users away helps nobody. */
+  /**
+   * Ready when requests can be decided here. A node that the state service alone refuses turns users away; in an outage
+   * that hits everybody that would help nobody, and the balancer would leave all nodes out for long after it.
+   */
   ready(): boolean {
     if (!this.typesKnown) return false;
     const now = this.out.clock.nowMs();
-    const refused =
-      this.state.lastRefusedMs > this.state.lastServedSentMs && now - this.state.lastServedSentMs > 1500;
-    const othersServed = now - this.leaderServedMs < 2500;
-    return !(refused && othersServed);
+    const { lastServedSentMs, lastRefusedMs } = this.state;
+    const refusedForMs = lastRefusedMs > lastServedSentMs ? now - lastServedSentMs : 0;
+    return !(refusedForMs > ALONE_MS && now - this.leaderServedMs < FRESH_MS);
   }
 
   onRequest(request: Incoming, reply: (answer: Answer) => void): void {
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -127,11 +127,10 @@
   };
   const self = { node: "n0", machines: 1, lagMs: 0 };
   const facts = (s: Servers): object => ({ ...[...s.facts()][0] });
-  const mandate = { ackUntilMs: 10_500, fullUntilMs: 10_500 };
   const s = new Servers();
   s.heard(ask, 10_000);
-  assert.equal(s.grant(ask, self, 10_000, mandate)?.forMs, 500, "no longer than the mandate");
-  assert.equal(s.grant(ask, self, 10_600, mandate), null, "none after it");
+  assert.equal(s.grant(ask, self, 10_000, 10_500, true)?.forMs, 500, "no longer than the mandate");
+  assert.equal(s.grant(ask, self, 10_600, 10_500, true), null, "none after it");
   s.heard({ ...ask, seq: 2, echoMs: 10_000 }, 10_400);
   assert.deepEqual(pick(facts(s)), { coveredMs: 10_000, blindMs: -Infinity });
   s.heard({ ...ask, seq: 4, echoMs: 10_300 }, 10_700);
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -45,3 +45,27 @@
   assert.deepEqual(after, before);
   assert.deepEqual(w.broken, []);
 });
+
+/** An outage made every node call itself unready for as long as its leader still held; the balancer left all of them out. */
+test("in an outage every node stays ready; one that is refused alone does not", async () => {
+  const w = new World(79, { size: 5 });
+  await w.run(5);
+  const status = (): Promise<number[]> => {
+    const all = Promise.all(w.names.map((n) => w.ask("GET", "/ready", undefined, n)));
+    return w.run(0.2).then(async () => (await all).map((r) => r.status));
+  };
+  assert.deepEqual(await status(), [200, 200, 200, 200, 200]);
+  w.state.outage(12_000);
+  for (const s of [1, 2, 2, 3, 3]) {
+    await w.run(s);
+    assert.deepEqual(await status(), [200, 200, 200, 200, 200]);
+  }
+  await w.run(10);
+  const alone = w.names.find((n) => n !== w.leader)!;
+  w.state.refuse(`${alone}:80`, 15_000);
+  await w.run(8);
+  assert.deepEqual(
+    (await status()).map((s, i) => [w.names[i], s]),
+    w.names.map((n) => [n, n === alone ? 503 : 200]),
+  );
+});
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -264,9 +264,10 @@
     await this.clock.advance(seconds * 1000);
   }
 
-  ask(method: string, path: string, body?: unknown): Promise<Reply> {
+  /** As a user, at a node that is up, or at this one. */
+  ask(method: string, path: string, body?: unknown, at?: string): Promise<Reply> {
     const up = this.names.filter((n) => this.nodes.get(n)!.alive);
-    const node = up[Math.floor(this.random() * up.length)] ?? "n0";
+    const node = at ?? up[Math.floor(this.random() * up.length)] ?? "n0";
     return this.net.caller("user:1", () => true).call(`${node}:80`, method, path, body, 5000);
   }
 
