--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -40,6 +40,8 @@
   /** Has commands carried, by the controller that serves the machine or from here. */
   errand: (term: number, via: string | null, errand: Errand) => void;
   sendGrant: (peer: string, grant: Grant) => void;
+  /** Who serves workers: the gate beside us spreads them, too. */
+  onHomes: (homes: Grant["homes"]) => void;
   /** Workers that report to this node. */
   served: () => number;
   lagMs: () => number;
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -12,6 +12,7 @@
   | { kind: "election"; news: ElectionNews }
   | { kind: "report"; report: Report; reply: (answer: Answer) => void }
   | { kind: "grant"; grant: Grant }
+  | { kind: "homes"; homes: Grant["homes"] }
   | { kind: "flush" }
   | { kind: "tick" };
 
@@ -50,6 +51,8 @@
 const SLOW_MS = 400;
 /** The leader has other work; of workers it takes this share of what the others take. */
 const LEADER_SHARE = 0.5;
+/** Workers that are sent on though they were here already are this far apart. */
+const MOVE_EVERY_MS = 30;
 
 /**
  * Answers workers' reports, at every node, under a grant of the leader (or by the leader's own mandate). A 200 renews
@@ -68,6 +71,7 @@
   private readonly heard = new Map<string, Heard>();
   private readonly changed = new Map<string, Known>();
   private machines = 0;
+  private nextMoveMs = -Infinity;
   private flushSet = false;
   private timer: Timer | null = null;
   private stopped = false;
@@ -106,6 +110,10 @@
       case "grant":
         this.granted(message.grant);
         break;
+      case "homes":
+        // Beside the leader there is no grant to bring them.
+        if (this.mandate) this.homes = message.homes;
+        break;
       case "flush":
         this.flushSet = false;
         this.flush();
@@ -214,30 +222,23 @@
 
   /** Another controller that this worker should go to; null: stay. */
   private lighter(isKnown: boolean): string | null {
-    if (this.homes.length < 2) return null;
-    const lag = this.o.lagMs();
-    const slow = lag > SLOW_MS;
-    // Whoever is here stays, unless we fall behind: moving costs a report.
-    if (isKnown && !slow) return null;
-    const share = (node: string): number => (node === this.leader ? LEADER_SHARE : 1);
-    let total = 0;
-    let weight = 0;
-    let best: Grant["homes"][number] | null = null;
+    const now = this.o.clock.nowMs();
+    // Moving costs a report: whoever is here goes only a few at a time.
+    if (isKnown && now < this.nextMoveMs) return null;
+    const to = whereTo({
+      node: this.o.node,
+      leader: this.leader,
+      lagMs: this.o.lagMs(),
+      isKnown,
+      homes: this.homes,
+    });
+    if (to === null) return null;
+    if (isKnown) this.nextMoveMs = now + MOVE_EVERY_MS;
     for (const h of this.homes) {
-      total += h.machines;
-      weight += share(h.node);
-      if (h.node === this.o.node || h.lagMs > SLOW_MS) continue;
-      if (!best || h.machines / share(h.node) < best.machines / share(best.node)) best = h;
+      if (h.node === to) h.machines++;
+      else if (h.node === this.o.node) h.machines--;
     }
-    const fair = total / weight;
-    const mine = this.homes.find((h) => h.node === this.o.node);
-    if (!best || !mine) return null;
-    const heavy = mine.machines > fair * share(mine.node) * 1.1 + 3;
-    const light = best.machines < fair * share(best.node) * 0.97;
-    if (slow ? lag < best.lagMs * 3 : !(heavy && light)) return null;
-    best.machines++;
-    mine.machines--;
-    return best.node;
+    return to;
   }
 
   private flushSoon(): void {
@@ -296,6 +297,38 @@
   }
 }
 
+/**
+ * Where a worker that reports here should go instead; null: it stays. New ones go where there is room as soon as we have
+ * a little more than our share; those that are here already when we have far more (the others may have been away), or
+ * when we fall behind and another does not. Pure.
+ */
+export function whereTo(facts: {
+  node: string;
+  leader: string | null;
+  lagMs: number;
+  isKnown: boolean;
+  homes: Grant["homes"];
+}): string | null {
+  const share = (node: string): number => (node === facts.leader ? LEADER_SHARE : 1);
+  let total = 0;
+  let weight = 0;
+  let mine: Grant["homes"][number] | null = null;
+  let best: Grant["homes"][number] | null = null;
+  for (const h of facts.homes) {
+    total += h.machines;
+    weight += share(h.node);
+    if (h.node === facts.node) mine = h;
+    else if (h.lagMs <= SLOW_MS && (!best || h.machines / share(h.node) < best.machines / share(best.node)))
+      best = h;
+  }
+  if (!best || !mine) return null;
+  const fair = total / weight;
+  if (facts.lagMs > SLOW_MS) return facts.lagMs >= best.lagMs * 3 ? best.node : null;
+  const heavy =
+    mine.machines > fair * share(mine.node) * (facts.isKnown ? 1.5 : 1.1) + (facts.isKnown ? 10 : 3);
+  return heavy && best.machines < fair * share(best.node) * 0.97 ? best.node : null;
+}
+
 /** Older than a report that the worker has sent since, or the same once more. Pure. */
 export function isLateCopy(known: { session: number; tick: number }, report: Report): boolean {
   return report.session < known.session || (report.session === known.session && report.tick <= known.tick);
--- a/src/coordination/reign.ts
+++ b/src/coordination/reign.ts
@@ -94,6 +94,8 @@
     }
     if (now - this.lastTallyMs > 1000) {
       this.lastTallyMs = now;
+      const self = { node: platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
+      this.o.onHomes(this.servers.homes(self, now));
       this.tally(now);
     }
     if (!this.full()) return;
--- a/src/coordination/renter.ts
+++ b/src/coordination/renter.ts
@@ -16,8 +16,6 @@
 const MAX_ORDERS = 4;
 /** Machines that one pass may want. */
 const MAX_MACHINES = 250;
-/** So long after its election a leader looks for machines that have not found it. */
-const SEEK_MS = 15_000;
 
 /** Owns the orders to the cloud: what is rented, what was refused, what is given back. */
 export class Renter {
@@ -86,8 +84,6 @@
     m.type ??= this.lore.typeNamed(l.type);
     if (m.zone === "") m.zone = l.zone;
     if (m.address === "") m.address = l.address;
-    if (m.state === "booting" && l.phase === "running" && now - this.r.startedMs < SEEK_MS)
-      this.r.supervisor.seek(m);
     if (m.state === "booting") m.spot = l.spot;
     if (l.phase === "failed") this.remove(m, "failed");
   }
--- a/src/coordination/servers.ts
+++ b/src/coordination/servers.ts
@@ -71,10 +71,6 @@
     book.grantUntilMs = Math.max(book.grantUntilMs, nowMs + forMs * (1 + 2 * DRIFT) + 10);
     const { resync } = book;
     book.resync = false;
-    const homes = [self];
-    for (const [node, b] of this.books) {
-      if (b.grantUntilMs > nowMs) homes.push({ node, machines: b.machines, lagMs: b.lagMs });
-    }
     return {
       kind: "grant",
       from: self.node,
@@ -85,10 +81,19 @@
       stampMs: Math.floor(nowMs),
       served,
       resync,
-      homes,
+      homes: this.homes(self, nowMs),
     };
   }
 
+  /** Who serves workers at present, and how many. */
+  homes(self: Grant["homes"][number], nowMs: number): Grant["homes"] {
+    const homes = [{ ...self }];
+    for (const [node, b] of this.books) {
+      if (b.grantUntilMs > nowMs) homes.push({ node, machines: b.machines, lagMs: b.lagMs });
+    }
+    return homes;
+  }
+
   wantAll(node: string): void {
     const book = this.books.get(node);
     if (book) book.resync = true;
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -309,15 +309,6 @@
     });
   }
 
-  /**
-   * A new leader asks the workers for reports instead of waiting until they have found it. No session has number 0, so
-   * nothing is carried out, and the refusal brings the report. The lease is not renewed by that, nor counted as if.
-   */
-  seek(m: Machine): void {
-    if (this.errands.has(m.name) || m.address === "") return;
-    this.send(m, m.token, 0, []);
-  }
-
   errandBack(result: ErrandResult): void {
     const { r } = this;
     const m = r.machines.get(result.machine);
--- a/src/service.ts
+++ b/src/service.ts
@@ -30,6 +30,8 @@
 const HOLD_MS = 4000;
 const PROBE_MS = 500;
 const DIRECT_MS = 3000;
+/** A node this far behind sheds questions. */
+const SHED_MS = 1200;
 /** Refused by the state service for so long, while the leader was served this lately: then it is this node alone. */
 const ALONE_MS = 4000;
 const FRESH_MS = 1200;
@@ -104,6 +106,7 @@
       cloud: this.cloud,
       errand: (term, via, errand) => this.dispatch.errand(term, via, errand),
       sendGrant: send,
+      onHomes: (homes) => this.gate.tell({ kind: "homes", homes }),
       served: () => this.gate.served,
       lagMs,
       onDeposed: (term) => this.elector.tell({ kind: "deposed", term }),
@@ -266,7 +269,8 @@
       default:
         break;
     }
-    if (this.inFlight >= MAX_IN_FLIGHT) {
+    // Half of them, by chance, so that no job is always the one that a full node sheds.
+    if (this.inFlight >= MAX_IN_FLIGHT || (this.lag.lagMs > SHED_MS && this.out.random() < 0.5)) {
       reply({ status: 503, body: { error: "too much at once" }, headers: { "Retry-After": "2" } });
       return;
     }
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -2,6 +2,7 @@
 import test from "node:test";
 import { isMajority, mayVouch, readLead } from "../src/coordination/election.js";
 import type { Serving } from "../src/protocol/peers.js";
+import { whereTo } from "../src/coordination/gate.js";
 import { Servers } from "../src/coordination/servers.js";
 import {
   absenceProves,
@@ -143,3 +144,44 @@
   const { coveredMs, blindMs } = o as { coveredMs: number; blindMs: number };
   return { coveredMs, blindMs };
 }
+
+test("workers are spread: new ones early, known ones when others were away, anybody when we fall behind", () => {
+  const home = (
+    node: string,
+    machines: number,
+    lagMs = 0,
+  ): { node: string; machines: number; lagMs: number } => ({
+    node,
+    machines,
+    lagMs,
+  });
+  const even = [home("n0", 40), home("n1", 80), home("n2", 80)];
+  const survivor = [home("n0", 0), home("n1", 200), home("n2", 0)];
+  const cases: [string, Partial<Parameters<typeof whereTo>[0]>, string | null][] = [
+    ["even", { homes: even }, null],
+    ["a new one at a full node", { homes: [home("n0", 40), home("n1", 95), home("n2", 65)] }, "n2"],
+    [
+      "a known one stays there",
+      { homes: [home("n0", 40), home("n1", 95), home("n2", 65)], isKnown: true },
+      null,
+    ],
+    ["a known one leaves the only survivor", { homes: survivor, isKnown: true }, "n0"],
+    ["the leader takes half of a share", { homes: [home("n0", 30), home("n1", 95), home("n2", 72)] }, "n0"],
+    [
+      "not to one that is behind itself",
+      { homes: [home("n0", 9, 900), home("n1", 200), home("n2", 150)] },
+      null,
+    ],
+    ["we are behind, the others are not", { homes: even, isKnown: true, lagMs: 2000 }, "n0"],
+    [
+      "all are behind alike",
+      { homes: even.map((h) => ({ ...h, lagMs: 350 })), isKnown: true, lagMs: 600 },
+      null,
+    ],
+    ["nobody else has a grant", { homes: [home("n1", 200)] }, null],
+  ];
+  for (const [name, change, want] of cases) {
+    const facts = { node: "n1", leader: "n0", lagMs: 0, isKnown: false, homes: even, ...change };
+    assert.equal(whereTo(facts), want, name);
+  }
+});
