--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -43,6 +43,8 @@
   cordonReason = "";
   cordonUntilMs = Infinity;
   idleSinceMs: number | null;
+  /** The cloud lists it as running, so it has come up once, though perhaps not for this leader. */
+  listedUp = false;
   readonly attempts = new Set<Attempt>();
   /** Counts whatever changes its room or its images. */
   changes = 0;
--- a/src/coordination/renter.ts
+++ b/src/coordination/renter.ts
@@ -85,6 +85,7 @@
     if (m.zone === "") m.zone = l.zone;
     if (m.address === "") m.address = l.address;
     if (m.state === "booting") m.spot = l.spot;
+    if (l.phase === "running") m.listedUp = true;
     if (l.phase === "failed") this.remove(m, "failed");
   }
 
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -376,8 +376,10 @@
           log.info(`${m.name}: not heard of in this term, its lease is over`);
           for (const a of [...m.attempts]) this.r.attempts.lost(a);
         }
-        const sinceMs = m.attempts.size > 0 ? Math.max(m.bornMs, this.r.startedMs) : m.bornMs;
-        const limit = m.attempts.size > 0 ? platform.leaseS * 2 + 10 : boot * 3 + 30;
+        // One that has come up for an earlier leader is not late but silent: cut off, say, and back in a while.
+        const known = m.attempts.size > 0 || m.listedUp;
+        const sinceMs = known ? Math.max(m.bornMs, this.r.startedMs) : m.bornMs;
+        const limit = known ? Math.max(platform.leaseS * 2 + 10, operator.abandonS) : boot * 3 + 30;
         if (now - sinceMs > limit * 1000 && now - this.r.startedMs > 5000)
           this.r.fleet.remove(m, "never came up");
         continue;
