--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -69,3 +69,26 @@
     w.names.map((n) => [n, n === alone ? 503 : 200]),
   );
 });
+
+/** A new leader gave machines back at once as never come up, by their age in the list, because it had not heard them yet. */
+test("a new leader keeps machines that came up for the last one and are cut off at the moment", async () => {
+  const w = new World(80, { size: 5 });
+  await w.run(3);
+  const spec = { form: "standing", rank: "prod", spores: 4, cores: 2, memoryGb: 4, windfall: false };
+  const job = w.submit({ ref: "job-000001", ...spec }, null);
+  // Longer than any boot may take.
+  await w.run(70);
+  const [ref] = [...w.workers].find(([, x]) => x.tasks.size > 0)!;
+  w.cancel(job);
+  await w.run(6);
+  const { address } = w.workers.get(ref)!.tuft;
+  w.net.cut(
+    (h) => h === address,
+    () => true,
+    14_000,
+  );
+  w.names.forEach((n) => w.crash(n, 500));
+  await w.run(11);
+  assert.ok(w.cloud.tufts.has(ref), `${ref} is still rented`);
+  assert.deepEqual(w.broken, []);
+});
