--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -309,15 +309,6 @@
     });
   }
 
-  /**
-   * A new leader asks the workers for reports instead of waiting until they have found it. No session has number 0, so
-   * nothing is carried out, and the refusal brings the report. The lease is not renewed by that, nor counted as if.
-   */
-  seek(m: Machine): void {
-    if (this.errands.has(m.name) || m.address === "") return;
-    this.send(m, m.token, 0, []);
-  }
-
   errandBack(result: ErrandResult): void {
     const { r } = this;
     const m = r.machines.get(result.machine);
@@ -385,8 +376,10 @@
           log.info(`${m.name}: not heard of in this term, its lease is over`);
           for (const a of [...m.attempts]) this.r.attempts.lost(a);
         }
-        const sinceMs = m.attempts.size > 0 ? Math.max(m.bornMs, this.r.startedMs) : m.bornMs;
-        const limit = m.attempts.size > 0 ? platform.leaseS * 2 + 10 : boot * 3 + 30;
+        // One that has come up for an earlier leader is not late but silent: cut off, say, and back in a while.
+        const known = m.attempts.size > 0 || m.listedUp;
+        const sinceMs = known ? Math.max(m.bornMs, this.r.startedMs) : m.bornMs;
+        const limit = known ? Math.max(platform.leaseS * 2 + 10, operator.abandonS) : boot * 3 + 30;
         if (now - sinceMs > limit * 1000 && now - this.r.startedMs > 5000)
           this.r.fleet.remove(m, "never came up");
         continue;
