--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import * as net from "node:net";
+import test from "node:test";
+import { isLateCopy, saysTheSame } from "../src/coordination/gate.js";
+import type { Report } from "../src/protocol/model.js";
+import { encodePeer, PEER_VERSION, type PeerMessage } from "../src/protocol/peers.js";
+import { systemClock } from "../src/transport/clock.js";
+import { frame, PeerLinks } from "../src/transport/peerLink.js";
+import { World } from "./standins/world.js";
+
+test("a link whose frames are not in order is closed, with the reason, and changes nothing", async () => {
+  const w = new World(31, { size: 5 });
+  await w.run(5);
+  const follower = w.names.find((n) => n !== w.leader)!;
+  const other = w.names.find((n) => n !== w.leader && n !== follower)!;
+  const hello = (from: string, version = PEER_VERSION): PeerMessage => ({ kind: "hello", from, version });
+  // Were it taken, the follower would take its sender for the leader of a term far ahead.
+  const usurp: PeerMessage = { kind: "confirm?", from: other, term: 900 };
+  const cases: [string, Buffer[], RegExp][] = [
+    ["rubbish", [Buffer.from("GET / HTTP/1.1")], /not a frame/],
+    ["no greeting", [encodePeer(usurp)], /no greeting/],
+    ["another version", [encodePeer(hello(other, PEER_VERSION + 1)), encodePeer(usurp)], /speaks version/],
+    ["nobody we know", [encodePeer(hello("mallory"))], /no peer/],
+    ["in another's name", [encodePeer(hello(w.leader!)), encodePeer(usurp)], /speaks for/],
+    ["cut short", [encodePeer(hello(other)), encodePeer(usurp).subarray(0, 8)], /not a frame/],
+    [
+      "more behind it",
+      [encodePeer(hello(other)), Buffer.concat([encodePeer(usurp), Buffer.alloc(1)])],
+      /not a frame/,
+    ],
+  ];
+  for (const [name, frames, want] of cases) {
+    const take = w.link(follower);
+    let reason: string | null = null;
+    for (const f of frames) reason ??= take(f);
+    assert.match(reason ?? "taken", want, name);
+  }
+  const before = w.leader;
+  await w.run(10);
+  assert.equal(w.leader, before, "the same leader in the same term");
+  const term = w.state.keys.get("lead/term")?.data as { n: number };
+  assert.equal(term.n, 1);
+});
+
+test("over real sockets: a foreign or oversized frame closes the link, a good one arrives", async () => {
+  const port = await freePort();
+  const got: string[] = [];
+  const bad: string[] = [];
+  const links = new PeerLinks({
+    listen: `127.0.0.1:${port}`,
+    peers: [],
+    clock: systemClock,
+    greeting: Buffer.from("hi"),
+    onLink: () => (payload) => {
+      if (payload.toString() !== "good") return "foreign";
+      got.push(payload.toString());
+      return null;
+    },
+    onRefused: () => undefined,
+    onBadLink: (reason) => bad.push(reason),
+    onError: () => undefined,
+  });
+  await links.start();
+  const send = (bytes: Buffer): Promise<void> =>
+    new Promise((resolve) => {
+      const socket = net.connect({ host: "127.0.0.1", port }, () => socket.end(bytes));
+      socket.on("error", () => undefined);
+      socket.on("close", () => resolve());
+    });
+  await send(frame(Buffer.from("good")));
+  await send(frame(Buffer.from("evil")));
+  await send(Buffer.from([0xff, 0xff, 0xff, 0xff, 1]));
+  links.close();
+  assert.deepEqual(got, ["good"]);
+  assert.equal(bad.length, 2, bad.join("; "));
+});
+
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = net.createServer().listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as net.AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+test("reports: what is a late copy, and what says nothing new", () => {
+  const report: Report = {
+    machine: "host-1",
+    address: "10.1.0.1:9000",
+    type: "g8",
+    zone: "a",
+    spot: false,
+    session: 2,
+    tick: 9,
+    token: 5,
+    noticeS: null,
+    tasks: [{ jobId: "job-1", task: 0, attempt: 1, phase: "running", cause: null, saved: false }],
+  };
+  const copies: [string, { session: number; tick: number }, boolean][] = [
+    ["the next one", { session: 2, tick: 8 }, false],
+    ["the same once more", { session: 2, tick: 9 }, true],
+    ["one from before", { session: 2, tick: 12 }, true],
+    ["one from an earlier session, with a higher tick", { session: 3, tick: 1 }, true],
+    ["the first of a new session", { session: 1, tick: 99 }, false],
+  ];
+  for (const [name, known, want] of copies) assert.equal(isLateCopy(known, report), want, name);
+  const same: [string, Partial<Report>, boolean][] = [
+    ["only the tick", { tick: 10 }, true],
+    ["a higher token", { token: 6 }, false],
+    ["a new session", { session: 3 }, false],
+    ["a notice", { noticeS: 8 }, false],
+    ["a task more", { tasks: [...report.tasks, { ...report.tasks[0]!, task: 1 }] }, false],
+    ["a task that has ended", { tasks: [{ ...report.tasks[0]!, phase: "exited", cause: "done" }] }, false],
+    ["another attempt", { tasks: [{ ...report.tasks[0]!, attempt: 2 }] }, false],
+  ];
+  for (const [name, change, want] of same)
+    assert.equal(saysTheSame(report, { ...report, ...change }), want, name);
+});
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -264,6 +264,11 @@
     await this.clock.advance(seconds * 1000);
   }
 
+  /** A link that comes in at that node, from wherever. */
+  link(name: string): (frame: Buffer) => string | null {
+    return this.nodes.get(name)!.controller.onLink();
+  }
+
   /** As a user, at a node that is up, or at this one. */
   ask(method: string, path: string, body?: unknown, at?: string): Promise<Reply> {
     const up = this.names.filter((n) => this.nodes.get(n)!.alive);
