--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -238,3 +238,27 @@
     );
   }
 });
+
+/** A node with too many questions at once sheds some; the same ones each time would be jobs that are forgotten. */
+test("a full node sheds questions, but no job's every time", async () => {
+  const w = new World(33, { size: 5 });
+  await w.run(3);
+  const refs = Array.from({ length: 420 }, (_, i) => `job-7${String(i).padStart(5, "0")}`);
+  for (const ref of refs) w.submit({ ref, spores: 1, cores: 0.125, memoryGb: 0.125, crew: "two" }, null);
+  await w.run(25);
+  const answered = new Map(refs.map((ref) => [ref, 0]));
+  let shed = 0;
+  for (let round = 0; round < 20; round++) {
+    for (const ref of refs) {
+      void w.ask("GET", `/v1/jobs/${ref}`, undefined, "n0").then((r) => {
+        if (r.status === 200) answered.set(ref, answered.get(ref)! + 1);
+        else shed++;
+      });
+    }
+    await w.run(2.5);
+  }
+  assert.ok(shed > 200, `${shed} were shed`);
+  const worst = Math.min(...answered.values());
+  assert.ok(worst >= 3, `each job is answered within 75 s, the worst ${worst} of 20 times`);
+  assert.deepEqual(w.broken, []);
+});
