--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -262,3 +262,26 @@
   assert.ok(worst >= 3, `each job is answered within 75 s, the worst ${worst} of 20 times`);
   assert.deepEqual(w.broken, []);
 });
+
+/** Copies of its last report, for ever and at every node, must not keep a machine that is gone alive in anybody's eyes. */
+test("late copies of a lost machine's report neither renew its lease nor bring it back", async () => {
+  const w = new World(34, { size: 5, capacity: 6 });
+  const sent = new Map<string, unknown>();
+  w.onReport = (body) => sent.set((body as { tuft: string }).tuft, body);
+  await w.run(3);
+  const service = { form: "standing", rank: "prod", cores: 2, memoryGb: 4, windfall: false };
+  w.submit({ ref: "job-000001", ...service, spores: 4 }, null);
+  await w.run(20);
+  const lost = [...w.workers.values()].find((x) => x.tasks.size > 0)!;
+  const { ref } = lost.tuft;
+  const copy = sent.get(ref)!;
+  w.cloud.take(ref);
+  for (let i = 0; i < 40; i++) {
+    for (const node of w.names) void w.ask("POST", "/checkin", copy, node).catch(() => undefined);
+    if (i === 25) w.crash(w.leader!, 90);
+    await w.run(0.5);
+  }
+  assert.equal(w.live("job-000001").length, 4, "its tasks run elsewhere, a lease later");
+  assert.ok([...w.workers.keys()].every((name) => name !== ref));
+  assert.deepEqual(w.broken, []);
+});
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -137,6 +137,8 @@
   readonly random: () => number;
 
   private readonly limits: Limits;
+  /** Sees each report that a controller gets. */
+  onReport: (body: unknown) => void = () => undefined;
   /** From here on nothing goes wrong any more. */
   calmFromMs = 0;
   private readonly unanswered = new Map<string, number>();
@@ -232,6 +234,7 @@
       if (!node.alive) return;
       const tuft = (q.body as { tuft?: string } | undefined)?.tuft;
       if (q.path === "/checkin" && (this.unanswered.get(tuft ?? "") ?? 0) > this.clock.nowMs()) return;
+      if (q.path === "/checkin") this.onReport(q.body);
       const body = Buffer.from(q.body === undefined ? "" : JSON.stringify(q.body));
       node.controller.onRequest({ method: q.method, path: q.path, body }, (a) => {
         if (node.alive) answer({ status: a.status, body: a.body });
