--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -11,12 +11,10 @@
     w.crash(w.leader ?? "n0", backMs);
 const node = (w: World): string => `${w.leader ?? "n0"}:80`;
 
+const isPeer = (host: string): boolean => /^n\d/.test(host);
+
 function alone(w: World, host: string, forMs: number): void {
-  w.net.cut(
-    (h) => h === host,
-    (h) => h === "state:1" || (/^n\d/.test(h) && h !== host),
-    forMs,
-  );
+  cutOff(w, host, (h) => h === "state:1" || isPeer(h), forMs);
 }
 
 /** Whole days on stand-ins: whatever fails, no rule breaks, and every accepted job comes to its end. */
@@ -76,51 +74,15 @@
   {
     name: "leader cut from the state service, packets held",
     repeat: 0.05,
-    at: [
-      [
-        15,
-        (w) => {
-          const l = node(w);
-          w.net.cut(
-            (h) => h === l,
-            (h) => h === "state:1",
-            15_000,
-          );
-        },
-      ],
-    ],
+    at: [[15, (w) => cutLeader(w, (h) => h === "state:1", 15_000)]],
   },
   {
     name: "leader cut from the workers, packets held",
-    at: [
-      [
-        15,
-        (w) => {
-          const l = node(w);
-          w.net.cut(
-            (h) => h === l,
-            (h) => h.startsWith("10."),
-            25_000,
-          );
-        },
-      ],
-    ],
+    at: [[15, (w) => cutLeader(w, (h) => h.startsWith("10."), 25_000)]],
   },
   {
     name: "leader cut from its peers",
-    at: [
-      [
-        15,
-        (w) => {
-          const l = node(w);
-          w.net.cut(
-            (h) => h === l,
-            (h) => /^n\d/.test(h) && h !== l,
-            20_000,
-          );
-        },
-      ],
-    ],
+    at: [[15, (w) => cutLeader(w, isPeer, 20_000)]],
   },
   {
     name: "a zone's machines cut off, packets held",
@@ -245,17 +207,7 @@
       [14, (w) => [...w.workers.values()].slice(0, 2).forEach((x) => x.hang(9000))],
       [16, crashLeader(1500)],
       [24, crashLeader(200)],
-      [
-        25,
-        (w) => {
-          const l = node(w);
-          w.net.cut(
-            (h) => h === l,
-            (h) => h.startsWith("10."),
-            9000,
-          );
-        },
-      ],
+      [25, (w) => cutLeader(w, (h) => h.startsWith("10."), 9000)],
       [32, (w) => w.cloud.outage(6000)],
       [33, (w) => [...w.workers.keys()].slice(0, 2).forEach((n) => w.cloud.take(n))],
     ],
@@ -293,8 +245,8 @@
       (x) => x.crash(`n${Math.floor(x.random() * 3)}`, 50 + x.random() * 3000),
       (x) => x.state.outage(2000 + x.random() * 20_000),
       (x) => x.state.refuse(node(x), 2000 + x.random() * 20_000),
-      (x) => cutLeader(x, (h) => h === "state:1"),
-      (x) => cutLeader(x, (h) => h.startsWith("10.")),
+      (x) => cutLeader(x, (h) => h === "state:1", 2000 + x.random() * 20_000),
+      (x) => cutLeader(x, (h) => h.startsWith("10."), 2000 + x.random() * 20_000),
       (x) => [0, 1, 2].forEach(() => anyWorker(x)?.hang(x.random() * 20_000)),
       (x) => x.cloud.take(anyWorker(x)?.tuft.ref ?? ""),
       (x) => x.cloud.outage(2000 + x.random() * 20_000),
@@ -322,9 +274,17 @@
   });
 }
 
-function cutLeader(w: World, from: (host: string) => boolean): void {
-  const l = node(w);
-  w.net.cut((h) => h === l, from, 2000 + w.random() * 20_000);
+/** Cuts one controller off from those hosts, itself not among them. */
+function cutOff(w: World, host: string, from: (host: string) => boolean, forMs: number): void {
+  w.net.cut(
+    (h) => h === host,
+    (h) => h !== host && from(h),
+    forMs,
+  );
+}
+
+function cutLeader(w: World, from: (host: string) => boolean, forMs: number): void {
+  cutOff(w, node(w), from, forMs);
 }
 
 function anyWorker(w: World): SimWorker | undefined {
