--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -133,6 +133,8 @@
   /** Shapes that fitted nowhere: in one pass room only shrinks, so what asks for no less fits nowhere either. */
   private readonly hopeless: JobSpec[] = [];
   private readonly open: MachineView[];
+  /** Shapes for which nobody's going would help: in one pass that stays so. */
+  private readonly barren = new Set<string>();
   private makers = 0;
 
   constructor(private readonly i: PlacementInput) {
@@ -442,10 +444,9 @@
     let loss = 0;
     if (fits(spec, room)) return { victims, loss };
     const now = this.i.nowMs;
-    const able = m
-      .victims()
-      .filter((v) => this.mayEvict(job, v))
-      .sort((a, b) => a.priority - b.priority || a.lossS(now) - b.lossS(now));
+    const able = m.victims().filter((v) => this.mayEvict(job, v));
+    if (able.length === 0) return null;
+    able.sort((a, b) => a.priority - b.priority || a.lossS(now) - b.lossS(now));
     for (const v of able) {
       if (fits(spec, room)) break;
       // Only what helps.
@@ -464,18 +465,28 @@
     // The lowest priority stops nobody, unless its team has less than its guarantee.
     if ((spec.priority === 0 && !job.guaranteed) || this.makers >= this.i.maxMakers) return 0;
     if (!this.i.mayStop(job)) return 0;
+    const shape = `${spec.team} ${spec.priority} ${job.guaranteed} ${spec.cpus} ${spec.gpus} ${spec.memoryGb} ${spec.zone} ${spec.spot} ${spec.types?.join()}`;
+    if (this.barren.has(shape)) return 0;
     this.makers++;
+    let passedOver = withinS < Infinity;
     const zones = new Map(job.zones);
     const options: { m: MachineView; cost: number }[] = [];
     this.plan.looked += this.i.machines.length;
     for (const m of this.i.machines) {
-      if (!allows(spec, m.type.name, m.zone, m.spot) || job.avoid.has(m.name) || m.held) continue;
+      if (!allows(spec, m.type.name, m.zone, m.spot)) continue;
       if (spec.gpus === 0 && m.type.gpus > 0 && m.claim) continue;
       const delay = fetchDelayS(spec, m);
-      if (delay > withinS || zoneRoom(spec, zones, m.zone) <= 0) continue;
+      if (job.avoid.has(m.name) || m.held || delay > withinS || zoneRoom(spec, zones, m.zone) <= 0) {
+        passedOver = true;
+        continue;
+      }
       const found = this.victimsFor(job, m);
       if (found) options.push({ m, cost: delay + found.loss * 0.3 + found.victims.length });
     }
+    if (options.length === 0) {
+      if (!passedOver) this.barren.add(shape);
+      return 0;
+    }
     options.sort((a, b) => a.cost - b.cost || (a.m.name < b.m.name ? -1 : 1));
     const picked = new Map<MachineView, { victims: VictimView[]; tasks: number }>();
     let missing = want;
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -10,8 +10,13 @@
 import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
 
 const PASS_DELAY_MS = 3;
-/** Passes are no closer together than this, nor than a few times what the last one took. */
-const GAP_MS = 15;
+/**
+ * Passes are no closer together than this, nor than some times what the last one took: what ends or comes meanwhile is
+ * placed in company. Several times a pass's own length left the leader of 627 machines no time for anything else.
+ */
+const GAP_MS = 40;
+const GAP_TIMES = 10;
+const MAX_GAP_MS = 400;
 /** Room that others were stopped for is kept so long; a gang's so long, while the rest of it comes. */
 const HOLD_MS = 6000;
 const GANG_HOLD_MS = 180_000;
@@ -23,6 +28,7 @@
   private holds: (Hold & { untilMs: number })[] = [];
   private guaranteedOf = -1;
   private guaranteedJobs = new Set<Job>();
+  private readonly wished = new WeakMap<Job, number[]>();
   /** As they were built last; rebuilt when the machine has changed or a pass has written on them. */
   private readonly views = new Map<
     string,
@@ -56,12 +62,13 @@
     }
     if (entries.length > 0) this.place(entries, guaranteed, now);
     // Whatever else there is to do gets its turn between two passes.
-    this.nextPassMs = this.o.clock.nowMs() + Math.max(GAP_MS, (this.o.clock.nowMs() - now) * 4);
+    const endMs = this.o.clock.nowMs();
+    this.nextPassMs = endMs + Math.min(MAX_GAP_MS, Math.max(GAP_MS, (endMs - now) * GAP_TIMES));
   }
 
   private place(entries: QueueEntry[], guaranteed: Set<Job>, now: number): void {
     const { r, lore } = this;
-    const inOrder = serveOrder(entries, (priority, gpus) => this.roomFor(priority, gpus));
+    const inOrder = serveOrder(entries, this.rooms());
     const machines: MachineView[] = [];
     const coming: MachineView[] = [];
     for (const m of r.machines.values()) {
@@ -155,7 +162,7 @@
       id: job.id,
       priority: spec.priority,
       guaranteed,
-      duesS: wishedS(spec.className, spec.deadlineS, this.o.platform.objectives).map((s) => s - agoS),
+      duesS: this.wishes(job).map((s) => s - agoS),
       taskS,
       gpus: spec.gpus > 0,
       aged,
@@ -164,19 +171,37 @@
     };
   }
 
-  /** What work of this priority can count on: everything but what higher work and, for cpus, accelerators take. */
-  private roomFor(priority: number, gpus: boolean): number {
-    let room = 0;
+  private wishes(job: Job): number[] {
+    let wishes = this.wished.get(job);
+    if (!wishes) {
+      wishes = wishedS(job.spec.className, job.spec.deadlineS, this.o.platform.objectives);
+      this.wished.set(job, wishes);
+    }
+    return wishes;
+  }
+
+  /** What work of a priority can count on: everything but what higher work and, for cpus, accelerators take. */
+  private rooms(): (priority: number, gpus: boolean) => number {
+    const all = { cpus: 0, gpus: 0 };
     for (const m of this.r.machines.values()) {
       if (!m.type || m.state === "leaving" || m.cordoned) continue;
-      if (gpus) room += m.type.gpus;
-      else if (m.type.gpus === 0 || !this.lore.claimOn(m.type, m.spot)) room += m.type.cpus;
-      else continue;
-      for (const a of m.attempts) {
-        if (a.job.spec.priority > priority) room -= gpus ? a.job.spec.gpus : a.job.spec.cpus;
-      }
+      all.gpus += m.type.gpus;
+      if (m.type.gpus === 0 || !this.lore.claimOn(m.type, m.spot)) all.cpus += m.type.cpus;
+    }
+    // Counted by jobs, not by attempts: there are ten times as many of those.
+    const used = new Map<number, { cpus: number; gpus: number }>();
+    for (const { spec, attempts } of this.r.jobs.values()) {
+      if (attempts.size === 0) continue;
+      const u = used.get(spec.priority) ?? { cpus: 0, gpus: 0 };
+      u.gpus += spec.gpus * attempts.size;
+      if (spec.gpus === 0) u.cpus += spec.cpus * attempts.size;
+      used.set(spec.priority, u);
     }
-    return room;
+    return (priority, gpus) => {
+      let room = gpus ? all.gpus : all.cpus;
+      for (const [other, u] of used) if (other > priority) room -= gpus ? u.gpus : u.cpus;
+      return room;
+    };
   }
 
   private jobView(e: QueueEntry, now: number): JobView {
--- a/src/coordination/renter.ts
+++ b/src/coordination/renter.ts
@@ -14,6 +14,8 @@
 const MAX_REFUSED_MS = 40_000;
 /** Rentals under way at the same time. */
 const MAX_ORDERS = 4;
+/** The cloud takes a few calls a second; what to ask it is not thought over at every pass. */
+const RENT_EVERY_MS = 200;
 /** Machines that one pass may want. */
 const MAX_MACHINES = 250;
 
@@ -24,6 +26,7 @@
   /** Refusals in a row, by type, zone and kind. */
   private readonly refusals = new Map<string, number>();
   private nextRequest = 0;
+  private lastWishMs = -Infinity;
 
   constructor(
     private readonly r: Reign,
@@ -124,13 +127,18 @@
   rent(plan: PlacementPlan, coming: MachineView[]): void {
     if (plan.unplaced.length === 0) return;
     const now = this.o.clock.nowMs();
+    if (now - this.lastWishMs < RENT_EVERY_MS) return;
+    this.lastWishMs = now;
     // A task that fits nowhere first triggers a squeeze; only what still waits then rents.
     if (now - this.r.rounds.lastRoundMs > 1000) this.r.rounds.round(now);
+    if (this.renting.size >= MAX_ORDERS) return;
+    const refused = new Set<string>();
+    for (const [key, untilMs] of this.refusedUntilMs) if (untilMs > now) refused.add(key);
     const wishes = wishToRent({
       unplaced: plan.unplaced,
       types: this.lore.types,
       coming,
-      refused: (type, zone, spot) => (this.refusedUntilMs.get(`${type} ${zone} ${spot}`) ?? 0) > now,
+      refused: (type, zone, spot) => refused.size > 0 && refused.has(`${type} ${zone} ${spot}`),
       maxMachines: MAX_MACHINES,
       claim: (type, spot) => this.lore.claimOn(type, spot),
     });
--- a/src/service.ts
+++ b/src/service.ts
@@ -30,6 +30,8 @@
 const HOLD_MS = 4000;
 const PROBE_MS = 500;
 const DIRECT_MS = 3000;
+/** Reads for questions are no closer together than this. */
+const READ_EVERY_MS = 250;
 /** A node this far behind sheds questions. */
 const SHED_MS = 1200;
 /** Refused by the state service for so long, while the leader was served this lately: then it is this node alone. */
@@ -77,8 +79,13 @@
       nodes: platform.size,
     });
     this.lag = new LagMeter(clock);
-    // All nodes' reads for questions together take less than half of what the service serves.
-    const feed = new JobFeed(this.state, clock, (1000 * platform.size) / (platform.stateRps * 0.45));
+    // All nodes' reads for questions together take less than half of what the service serves; and nobody minds a
+    // question answered a moment later, while each read costs this node as much as several answers.
+    const feed = new JobFeed(
+      this.state,
+      clock,
+      Math.max(READ_EVERY_MS, (1000 * platform.size) / (platform.stateRps * 0.45)),
+    );
     this.admission = new Admission({
       state: this.state,
       feed,
--- a/src/transport/httpClient.ts
+++ b/src/transport/httpClient.ts
@@ -37,7 +37,8 @@
 
   call(address: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Reply> {
     const at = address.lastIndexOf(":");
-    const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+    // A string, not a buffer: it goes out together with the headers, in one piece.
+    const payload = body === undefined ? undefined : JSON.stringify(body);
     return new Promise((resolve, reject) => {
       let settled = false;
       let connected = false;
@@ -51,7 +52,7 @@
       const headers: http.OutgoingHttpHeaders = {};
       if (payload) {
         headers["Content-Type"] = "application/json";
-        headers["Content-Length"] = payload.length;
+        headers["Content-Length"] = Buffer.byteLength(payload);
       }
       const request = http.request({
         host: address.slice(0, at),
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -39,10 +39,11 @@
         if (answered) return;
         answered = true;
         if (response.destroyed) return;
-        const payload = Buffer.from(JSON.stringify(answer.body ?? {}));
+        // A string, not a buffer: it goes out together with the headers, in one piece.
+        const payload = JSON.stringify(answer.body ?? {});
         response.writeHead(answer.status, {
           "Content-Type": "application/json",
-          "Content-Length": payload.length,
+          "Content-Length": Buffer.byteLength(payload),
           ...answer.headers,
         });
         response.end(payload);
