--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -49,8 +49,12 @@
 const FRAME_TASKS = 1200;
 /** A node this far behind sends workers on to nodes that keep up. */
 const SLOW_MS = 400;
-/** The leader has other work; of workers it takes this share of what the others take. */
+/** The leader has other work; of workers it takes this share of what the others take, and less as it begins. */
 const LEADER_SHARE = 0.5;
+const NEW_LEADER_SHARE = 0.1;
+const NEW_LEADER_MS = 8000;
+/** Without a grant for so long, workers are sent to the leader; before that they find the next node by themselves. */
+const NAME_LEADER_MS = 2500;
 /** Workers that are sent on though they were here already are this far apart. */
 const MOVE_EVERY_MS = 30;
 
@@ -64,6 +68,8 @@
   private term = 0;
   private mandate: Mandate | null = null;
   private grantUntilMs = -Infinity;
+  /** When we heard of this term first. */
+  private termSeenMs = -Infinity;
   private echoMs = 0;
   private seq = 0;
   private homes: Grant["homes"] = [];
@@ -140,6 +146,7 @@
   /** A new term: whatever we know of our workers is news to its leader. */
   private begin(term: number): void {
     this.term = term;
+    this.termSeenMs = this.o.clock.nowMs();
     this.grantUntilMs = -Infinity;
     this.echoMs = 0;
     this.seq = 0;
@@ -178,7 +185,10 @@
     const now = this.o.clock.nowMs();
     if (now >= this.untilMs()) {
       const elsewhere = this.mandate ? null : this.leader;
-      if (elsewhere === null || elsewhere === this.o.node) reply({ status: 503, body: {} });
+      // A grant comes within a moment, or a leader that is gone is replaced. Sent to the leader meanwhile, all workers
+      // arrived there at once, when it has most to do, and many of their leases ran out in its line.
+      const patient = now - Math.max(this.grantUntilMs, this.termSeenMs) < NAME_LEADER_MS;
+      if (elsewhere === null || elsewhere === this.o.node || patient) reply({ status: 503, body: {} });
       else reply({ status: 421, body: encodeElsewhere(elsewhere) });
       return;
     }
@@ -228,6 +238,7 @@
     const to = whereTo({
       node: this.o.node,
       leader: this.leader,
+      leaderShare: now - this.termSeenMs < NEW_LEADER_MS ? NEW_LEADER_SHARE : LEADER_SHARE,
       lagMs: this.o.lagMs(),
       isKnown,
       homes: this.homes,
@@ -305,11 +316,13 @@
 export function whereTo(facts: {
   node: string;
   leader: string | null;
+  /** Of a controller's share of the workers, the leader's. */
+  leaderShare: number;
   lagMs: number;
   isKnown: boolean;
   homes: Grant["homes"];
 }): string | null {
-  const share = (node: string): number => (node === facts.leader ? LEADER_SHARE : 1);
+  const share = (node: string): number => (node === facts.leader ? facts.leaderShare : 1);
   let total = 0;
   let weight = 0;
   let mine: Grant["homes"][number] | null = null;
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -51,7 +51,10 @@
     const self = { node: this.o.platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
     const { lastServedSentMs, lastRefusedMs } = this.o.state;
     const grant = r.servers.grant(s, self, now, r.mandate.ackUntilMs, lastServedSentMs > lastRefusedMs);
-    if (grant) this.o.sendGrant(s.from, grant);
+    if (!grant) return;
+    this.o.sendGrant(s.from, grant);
+    // The gate beside us spreads workers as well, from the first moment on.
+    this.o.onHomes(grant.homes);
   }
 
   /** False for an older one, or a copy: it renews nothing and proves nothing. */
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -178,10 +178,23 @@
       { homes: even.map((h) => ({ ...h, lagMs: 350 })), isKnown: true, lagMs: 600 },
       null,
     ],
+    [
+      "a new leader takes hardly any",
+      { homes: [home("n0", 12), home("n1", 115), home("n2", 73)], leaderShare: 0.1 },
+      "n2",
+    ],
     ["nobody else has a grant", { homes: [home("n1", 200)] }, null],
   ];
   for (const [name, change, want] of cases) {
-    const facts = { node: "n1", leader: "n0", lagMs: 0, isKnown: false, homes: even, ...change };
+    const facts = {
+      node: "n1",
+      leader: "n0",
+      leaderShare: 0.5,
+      lagMs: 0,
+      isKnown: false,
+      homes: even,
+      ...change,
+    };
     assert.equal(whereTo(facts), want, name);
   }
 });
