--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -198,6 +198,75 @@
       (w: World) => w.crash(i % 2 ? w.names[i % w.names.length]! : (w.leader ?? "n0"), 60 + i * 40),
     ]),
   },
+  {
+    name: "the leader stands still, then the next one: longer than hold, grant and lease, waking with full buffers",
+    grown: true,
+    repeat: 0.05,
+    at: [
+      [12, (w) => w.freeze(w.leader ?? "n0", 3000)],
+      [20, (w) => w.freeze(w.leader ?? "n0", 7000)],
+      [32, (w) => w.freeze(w.leader ?? "n0", 21_000)],
+    ],
+  },
+  {
+    name: "followers stand still, one after the other, and one just as it is to lead",
+    grown: true,
+    repeat: 0.05,
+    at: [
+      [
+        12,
+        (w) =>
+          w.freeze(
+            w.names.find((n) => n !== w.leader)!,
+            9000,
+          ),
+      ],
+      [22, (w) => w.names.filter((n) => n !== w.leader).forEach((n) => w.freeze(n, 2500))],
+      [
+        33,
+        (w) => {
+          const [next] = w.names.filter((n) => n !== w.leader);
+          w.crash(w.leader ?? "n0", 90);
+          w.clock.after(300, () => w.freeze(next!, 12_000));
+        },
+      ],
+    ],
+  },
+  {
+    name: "many machines stop with all that is on them, also while a new leader begins",
+    grown: true,
+    at: [
+      [12, (w) => [...w.workers.keys()].slice(0, 6).forEach((n) => w.cloud.take(n))],
+      [20, crashLeader(90)],
+      [20.5, (w) => [...w.workers.keys()].slice(2, 8).forEach((n) => w.cloud.take(n))],
+    ],
+  },
+  {
+    name: "a zone is cut off with a controller in it, which leads",
+    grown: true,
+    repeat: 0.05,
+    at: [[14, (w) => cutZone(w, w.leader ?? "n0", 20_000)]],
+  },
+  {
+    name: "two zones can't reach each other, the state service is reached from both",
+    grown: true,
+    repeat: 0.05,
+    at: [[14, (w) => cutZone(w, w.leader ?? "n0", 26_000, (h) => h !== "state:1" && h !== "cloud:1")]],
+  },
+  {
+    name: "state service slow and down while all controllers are restarted one after the other, and all end",
+    grown: true,
+    repeat: 0.1,
+    at: [
+      ...[10, 14, 18, 22, 26].map((s, i): [number, Trouble] => [
+        s,
+        (w) => w.crash(w.names[i % w.names.length]!, 900),
+      ]),
+      [15, (w) => w.state.outage(6000)],
+      [30, (w) => w.names.forEach((n, i) => w.crash(n, 80 + i * 300))],
+      [31, (w) => w.state.outage(4000)],
+    ],
+  },
   {
     name: "much at once",
     grown: true,
@@ -283,6 +352,13 @@
   );
 }
 
+/** Zone b's machines, and that controller with them, reach nothing else of what `from` names. */
+function cutZone(w: World, name: string, forMs: number, from: (host: string) => boolean = () => true): void {
+  const inside = (h: string): boolean =>
+    h === `${name}:80` || [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+  w.net.cut(inside, (h) => !inside(h) && from(h), forMs);
+}
+
 function cutLeader(w: World, from: (host: string) => boolean, forMs: number): void {
   cutOff(w, node(w), from, forMs);
 }
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -12,6 +12,8 @@
     guaranteed: false,
     gpus: false,
     aged: false,
+    late: false,
+    wide: work,
     duesS,
     taskS: 1,
     work,
@@ -32,6 +34,17 @@
       ],
       want: "top sure mid low",
     },
+    {
+      name: "what is late goes first, the oldest first, in its part of the room, and no further",
+      entries: [
+        entry("new", 10, [90]),
+        entry("old", 30, [], { late: true, wide: 2 }),
+        entry("older", 20, [], { late: true, wide: 2, since: -1 }),
+        entry("huge", 900, [], { late: true }),
+        entry("last", 20, [95], { late: true }),
+      ],
+      want: "older old new last huge",
+    },
     { name: "without wishes, as they came", entries: [entry("a", 90, []), entry("b", 10, [])], want: "a b" },
     {
       name: "when all fit, the nearest due first",
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -3,7 +3,7 @@
 import { Controller } from "../../src/service.js";
 import { operatorDefaults } from "../../src/settings/operator.js";
 import type { Platform } from "../../src/settings/platform.js";
-import type { Reply } from "../../src/transport/httpClient.js";
+import type { HttpCaller, Reply } from "../../src/transport/httpClient.js";
 import { SimClock } from "./clock.js";
 import { SimCloud, type SimType } from "./cloud.js";
 import { SimNet } from "./net.js";
@@ -37,6 +37,8 @@
 interface SimNode {
   controller: Controller;
   alive: boolean;
+  /** Stands still until then, though its clocks run on. */
+  thawMs: number;
   /** Links that came in, by their sender's process. */
   links: Map<string, (frame: Buffer) => string | null>;
 }
@@ -204,13 +206,41 @@
 
   private boot(name: string): void {
     const life = `life-${++this.lives}`;
-    const node: SimNode = { alive: true, controller: null as unknown as Controller, links: new Map() };
-    const caller = this.net.caller(`${name}:80`, () => node.alive);
+    const node: SimNode = {
+      alive: true,
+      thawMs: 0,
+      controller: null as unknown as Controller,
+      links: new Map(),
+    };
+    const call = this.net.caller(`${name}:80`, () => node.alive);
+    const thawed = (run: () => void): void => this.whenThawed(node, run);
+    const caller: HttpCaller = {
+      call: (...q) =>
+        new Promise((resolve, reject) => {
+          call.call(...q).then(
+            (r) => thawed(() => resolve(r)),
+            (e: Error) => thawed(() => reject(e)),
+          );
+        }),
+    };
     node.controller = new Controller(
       { ...platformOf(name, this.names, this.limits), objectives: this.options.objectives ?? [] },
       operatorDefaults,
       {
-        clock: this.clock,
+        clock: {
+          nowMs: () => this.clock.nowMs(),
+          today: () => this.clock.today(),
+          after: (delayMs, run) => {
+            let cancelled = false;
+            const timer = this.clock.after(delayMs, () => thawed(() => !cancelled && run()));
+            return {
+              cancel: () => {
+                cancelled = true;
+                timer.cancel();
+              },
+            };
+          },
+        },
         state: caller,
         cloud: caller,
         workers: caller,
@@ -220,7 +250,7 @@
             const copy = Buffer.from(payload);
             this.net.carry(`${name}:80`, `${peer}:80`, () => {
               const other = this.nodes.get(peer);
-              if (other?.alive) deliver(other, life, name, copy);
+              if (other) this.whenThawed(other, () => other.alive && deliver(other, life, name, copy));
             });
             return true;
           },
@@ -236,8 +266,11 @@
       if (q.path === "/checkin" && (this.unanswered.get(tuft ?? "") ?? 0) > this.clock.nowMs()) return;
       if (q.path === "/checkin") this.onReport(q.body);
       const body = Buffer.from(q.body === undefined ? "" : JSON.stringify(q.body));
-      node.controller.onRequest({ method: q.method, path: q.path, body }, (a) => {
-        if (node.alive) answer({ status: a.status, body: a.body });
+      thawed(() => {
+        if (!node.alive) return;
+        node.controller.onRequest({ method: q.method, path: q.path, body }, (a) => {
+          if (node.alive) answer({ status: a.status, body: a.body });
+        });
       });
     });
     node.controller.start();
@@ -253,6 +286,18 @@
     this.clock.after(backMs, () => this.boot(name));
   }
 
+  /** It stands still while its clocks run on; whatever comes meanwhile it finds when it wakes, in no special order. */
+  freeze(name: string, forMs: number): void {
+    const node = this.nodes.get(name);
+    if (node?.alive) node.thawMs = this.clock.nowMs() + forMs;
+  }
+
+  private whenThawed(node: SimNode, run: () => void): void {
+    const waitMs = node.thawMs - this.clock.nowMs();
+    if (waitMs > 0) this.clock.after(waitMs, () => this.whenThawed(node, run));
+    else run();
+  }
+
   /** The others see connections to it refused, rightly or not. */
   refuse(name: string): void {
     for (const [other, node] of this.nodes) {
