--- a/src/coordination/archive.ts
+++ b/src/coordination/archive.ts
@@ -15,11 +15,14 @@
 export const LAZY_WRITE_MS = 3000;
 /** Changes in a second that results leave to others. */
 const LAZY_ROOM = 8;
-const WATCH_MS = 20_000;
+/** Short, so that we know at each moment that no cancellation of a while ago is unknown here (`knownToMs`). */
+const WATCH_MS = 800;
 
 /** Owns the term's records: reads them when the term begins, watches them, writes what changes. */
 export class Archive {
   private revision = 0;
+  /** All cancellations that were committed before then are known. */
+  knownToMs = -Infinity;
   readonly garbage: Garbage = new Map();
   private writing = false;
   private writeAtMs = Infinity;
@@ -144,22 +147,24 @@
 
   private watch(): void {
     const { term } = this.r.mandate;
+    const sentMs = this.o.clock.nowMs();
     void this.o.state
       .watch(keys.live, this.revision, WATCH_MS)
-      .then((outcome) => this.o.tell({ kind: "watched", term, outcome }));
+      .then((outcome) => this.o.tell({ kind: "watched", term, outcome, sentMs }));
   }
 
-  watched(outcome: WatchOutcome): void {
+  watched(outcome: WatchOutcome, sentMs: number): void {
     if (outcome.kind === "too old") {
       // Heads may have come and been cancelled unseen: read them all again.
       const { term } = this.r.mandate;
-      void this.o.state.list(keys.live, this.o.clock.nowMs() + 4000).then((list) => {
+      const listedMs = this.o.clock.nowMs();
+      void this.o.state.list(keys.live, listedMs + 4000).then((list) => {
         const outcome: WatchOutcome =
           list.kind === "ok"
             ? { kind: "ok", revision: list.revision, events: list.items }
             : { kind: "too old" };
         this.o.clock.after(list.kind === "ok" ? 0 : 300, () =>
-          this.o.tell({ kind: "watched", term, outcome }),
+          this.o.tell({ kind: "watched", term, outcome, sentMs: listedMs }),
         );
       });
       return;
@@ -172,6 +177,7 @@
     }
     this.revision = Math.max(this.revision, outcome.revision);
     for (const event of outcome.events) if (!("gone" in event)) this.learnHead(event);
+    this.knownToMs = Math.max(this.knownToMs, sentMs);
     this.watch();
     this.r.placer.requestPass();
   }
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -22,7 +22,7 @@
   | { kind: "election"; news: ElectionNews }
   | { kind: "serving"; serving: Serving }
   | { kind: "loaded"; term: number; heads: ListOutcome; chunks: ListOutcome; rest: Item[] | null }
-  | { kind: "watched"; term: number; outcome: WatchOutcome }
+  | { kind: "watched"; term: number; outcome: WatchOutcome; sentMs: number }
   | { kind: "reread"; term: number; key: string; item: Item | null; ok: boolean }
   | { kind: "committed"; term: number; transaction: Transaction; outcome: CommitOutcome }
   | { kind: "errand"; term: number; result: ErrandResult }
@@ -42,6 +42,8 @@
   sendGrant: (peer: string, grant: Grant) => void;
   /** Who serves workers: the gate beside us spreads them, too. */
   onHomes: (homes: Grant["homes"]) => void;
+  /** Until then the gate beside us may keep its own zone's workers alive if we are cut off with them. */
+  onHome: (untilMs: number) => void;
   /** Workers that report to this node. */
   served: () => number;
   lagMs: () => number;
@@ -111,7 +113,7 @@
         r.archive.loaded(message.heads, message.chunks, message.rest);
         break;
       case "watched":
-        r.archive.watched(message.outcome);
+        r.archive.watched(message.outcome, message.sentMs);
         break;
       case "reread":
         r.archive.reread(message.key, message.item, message.ok);
--- a/src/coordination/fences.ts
+++ b/src/coordination/fences.ts
@@ -75,6 +75,19 @@
   return leaseOverMs(fromMs, leaseS);
 }
 
+/** What a cancellation may be known late by, when a controller is given its zone for a while. */
+export const KNOWN_LATE_MS = 2000;
+
+/**
+ * How long a controller that is cut off together with its zone may go on acknowledging the zone's own workers without
+ * hearing from the leader. A job may be cancelled in that time, its tasks' stops can't arrive, and they must be gone
+ * within `cancelS` all the same (rule `ran_cancelled`): a lease after the last acknowledgement, then, at the latest.
+ */
+export function homeGrantMs(cancelS: number, leaseS: number): number {
+  const ms = Math.floor((cancelS - leaseS * (1 + 2 * DRIFT)) * 1000 * (1 - 2 * DRIFT) - KNOWN_LATE_MS - 500);
+  return ms < 3000 ? 0 : ms;
+}
+
 /** A leader's own hold, counted from when its renewal was sent; we count fast, the service may count slow. */
 export function holdUntilMs(renewalSentMs: number, ttlMs: number): number {
   return renewalSentMs + ttlMs * (1 - 2 * DRIFT) - 20;
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -1,5 +1,5 @@
 import type { Heard, Report, SeenReport } from "../protocol/model.js";
-import type { Grant, Serving } from "../protocol/peers.js";
+import type { Grant, PeerMessage, Serving } from "../protocol/peers.js";
 import { encodeElsewhere, encodeResponse } from "../protocol/workers.js";
 import type { Clock, Timer } from "../transport/clock.js";
 import type { Answer } from "../transport/httpServer.js";
@@ -13,17 +13,23 @@
   | { kind: "report"; report: Report; reply: (answer: Answer) => void }
   | { kind: "grant"; grant: Grant }
   | { kind: "homes"; homes: Grant["homes"] }
+  | { kind: "home"; untilMs: number }
+  | { kind: "alone"; from: string; term: number }
   | { kind: "flush" }
   | { kind: "tick" };
 
 export interface GateOptions {
   node: string;
+  zone: string;
+  /** Each controller's zone, ours included. */
+  zones: ReadonlyMap<string, string>;
   /** Different in each process; below 2^48. */
   life: number;
   clock: Clock;
   reportS: number;
   /** To the leader, whoever that is; true when it went out. */
   toLeader: (leader: string, serving: Serving) => void;
+  toNeighbour: (node: string, message: PeerMessage) => void;
   /** To the conductor beside us, while it leads. */
   toConductor: (serving: Serving) => void;
   /** A worker has seen the token of a later term. */
@@ -53,6 +59,15 @@
 const LEADER_SHARE = 0.5;
 const NEW_LEADER_SHARE = 0.1;
 const NEW_LEADER_MS = 8000;
+/** A controller with fewer workers than this is sent one at a time: perhaps they don't reach it. */
+const FEW_MACHINES = 5;
+const TRICKLE_MS = 250;
+/** A worker waits so long for an answer at the least before it gives a controller up. */
+const ANSWER_MS = 3500;
+const SHUN_MS = 20_000;
+/** How long a neighbour's word that it hears from no leader counts; and how long such a word may take to come. */
+const NEIGHBOUR_MS = 1600;
+const DECIDE_MS = 1500;
 /** Without a grant for so long, workers are sent to the leader; before that they find the next node by themselves. */
 const NAME_LEADER_MS = 2500;
 /** Workers that are sent on though they were here already are this far apart. */
@@ -68,6 +83,12 @@
   private term = 0;
   private mandate: Mandate | null = null;
   private grantUntilMs = -Infinity;
+  /** Until then our own zone's workers may be kept alive, if the whole zone is cut off. */
+  private homeUntilMs = -Infinity;
+  /** The last moment at which we might acknowledge anybody's reports. */
+  private rightUntilMs = -Infinity;
+  /** When a neighbour last said that it hears from no leader either. */
+  private neighbourAloneMs = -Infinity;
   /** When we heard of this term first. */
   private termSeenMs = -Infinity;
   private echoMs = 0;
@@ -78,12 +99,23 @@
   private readonly changed = new Map<string, Known>();
   private machines = 0;
   private nextMoveMs = -Infinity;
+  /** Where we sent workers, and when. */
+  private readonly sent = new Map<string, { to: string; atMs: number }>();
+  /** Controllers that workers we sent did not reach, and until when we send none there. */
+  private readonly shunned = new Map<string, number>();
+  /** When we may send the next one to a controller that hardly serves any. */
+  private nextTrickleMs = -Infinity;
+  /** The other controllers of our zone. */
+  private readonly neighbours: string[];
   private flushSet = false;
   private timer: Timer | null = null;
   private stopped = false;
 
   constructor(private readonly o: GateOptions) {
     super();
+    this.neighbours = [...o.zones]
+      .filter(([node, zone]) => node !== o.node && zone === o.zone)
+      .map(([n]) => n);
   }
 
   start(): void {
@@ -120,6 +152,13 @@
         // Beside the leader there is no grant to bring them.
         if (this.mandate) this.homes = message.homes;
         break;
+      case "home":
+        if (this.mandate) this.homeUntilMs = Math.max(this.homeUntilMs, message.untilMs);
+        break;
+      case "alone":
+        if (message.term === this.term && this.neighbours.includes(message.from))
+          this.neighbourAloneMs = this.o.clock.nowMs();
+        break;
       case "flush":
         this.flushSet = false;
         this.flush();
@@ -135,8 +174,8 @@
     this.mandate = news.mandate;
     this.leader = news.leader;
     if (news.mandate) {
-      if (led === news.mandate.term) return;
-      this.begin(news.mandate.term);
+      if (led !== news.mandate.term) this.begin(news.mandate.term);
+      this.rightUntilMs = Math.max(this.rightUntilMs, news.mandate.ackUntilMs);
     } else if (news.leader !== null && news.term > this.term) {
       this.begin(news.term);
     }
@@ -147,7 +186,7 @@
   private begin(term: number): void {
     this.term = term;
     this.termSeenMs = this.o.clock.nowMs();
-    this.grantUntilMs = -Infinity;
+    this.giveUpRights();
     this.echoMs = 0;
     this.seq = 0;
     this.homes = [];
@@ -156,6 +195,14 @@
     this.flush();
   }
 
+  /** Whatever an earlier leader gave us: the next one counts on it that we use none of it from here on. */
+  private giveUpRights(): void {
+    this.grantUntilMs = -Infinity;
+    this.homeUntilMs = -Infinity;
+    this.rightUntilMs = -Infinity;
+    this.neighbourAloneMs = -Infinity;
+  }
+
   private tellAll(): void {
     const now = this.o.clock.nowMs();
     for (const [name, k] of this.known) {
@@ -173,6 +220,8 @@
     if (this.mandate || g.term !== this.term || g.from !== this.leader || g.life !== this.o.life) return;
     if (g.askMs > now || now - g.askMs > 10_000) return;
     this.grantUntilMs = Math.max(this.grantUntilMs, g.askMs + g.forMs * (1 - 2 * DRIFT));
+    this.rightUntilMs = Math.max(this.rightUntilMs, this.grantUntilMs);
+    if (g.homeMs > 0) this.homeUntilMs = Math.max(this.homeUntilMs, g.askMs + g.homeMs * (1 - 2 * DRIFT));
     this.echoMs = Math.max(this.echoMs, g.stampMs);
     this.homes = g.homes;
     if (g.resync) {
@@ -183,7 +232,8 @@
 
   private report(report: Report, reply: (answer: Answer) => void): void {
     const now = this.o.clock.nowMs();
-    if (now >= this.untilMs()) {
+    const home = now >= this.untilMs();
+    if (home && !this.mayKeepHome(report.zone, now)) {
       const elsewhere = this.mandate ? null : this.leader;
       // A grant comes within a moment, or a leader that is gone is replaced. Sent to the leader meanwhile, all workers
       // arrived there at once, when it has most to do, and many of their leases ran out in its line.
@@ -194,7 +244,7 @@
     }
     if (report.token >= firstToken(this.term + 1)) {
       // A later leader has spoken to it: a 200 from us would be dropped and hold the worker here.
-      this.grantUntilMs = -Infinity;
+      this.giveUpRights();
       this.o.onLaterTerm(this.term);
       reply({ status: 503, body: {} });
       return;
@@ -205,7 +255,8 @@
       reply({ status: 503, body: {} });
       return;
     }
-    const other = this.lighter(known !== undefined);
+    this.noteReturn(report.machine, now);
+    const other = home ? null : this.lighter(report, known !== undefined);
     if (other !== null) {
       this.known.delete(report.machine);
       reply({ status: 421, body: encodeElsewhere(other) });
@@ -230,8 +281,18 @@
     else this.flushSoon();
   }
 
+  /**
+   * A zone that is cut off goes on working inside, and its tasks live as long as somebody there acknowledges their
+   * workers. Alone we can't tell such a cut from one of our own, where the workers would find the others if we sent
+   * them on: so only while a neighbour says that it hears from no leader either, or for the moment until it can say so.
+   */
+  private mayKeepHome(zone: string, now: number): boolean {
+    if (zone !== this.o.zone || now >= this.homeUntilMs) return false;
+    return now - this.rightUntilMs < DECIDE_MS || now - this.neighbourAloneMs < NEIGHBOUR_MS;
+  }
+
   /** Another controller that this worker should go to; null: stay. */
-  private lighter(isKnown: boolean): string | null {
+  private lighter(report: Report, isKnown: boolean): string | null {
     const now = this.o.clock.nowMs();
     // Moving costs a report: whoever is here goes only a few at a time.
     if (isKnown && now < this.nextMoveMs) return null;
@@ -241,9 +302,16 @@
       leaderShare: now - this.termSeenMs < NEW_LEADER_MS ? NEW_LEADER_SHARE : LEADER_SHARE,
       lagMs: this.o.lagMs(),
       isKnown,
-      homes: this.homes,
+      homes: this.shunned.size === 0 ? this.homes : this.homes.filter((h) => !this.isShunned(h.node, now)),
+      zone: report.zone,
+      zoneOf: (node) => this.o.zones.get(node) ?? "",
     });
     if (to === null) return null;
+    if ((this.homes.find((h) => h.node === to)?.machines ?? 0) < FEW_MACHINES) {
+      if (now < this.nextTrickleMs) return null;
+      this.nextTrickleMs = now + TRICKLE_MS;
+    }
+    this.sent.set(report.machine, { to, atMs: now });
     if (isKnown) this.nextMoveMs = now + MOVE_EVERY_MS;
     for (const h of this.homes) {
       if (h.node === to) h.machines++;
@@ -252,6 +320,27 @@
     return to;
   }
 
+  private isShunned(node: string, now: number): boolean {
+    const untilMs = this.shunned.get(node);
+    if (untilMs === undefined) return false;
+    if (now < untilMs) return true;
+    this.shunned.delete(node);
+    return false;
+  }
+
+  /**
+   * Granted, and cut off from the workers alone, a controller has ever fewer of them: the lightest, to which everybody
+   * would send theirs, to wait there for an answer while their leases run out. Who comes back after such a wait has not
+   * reached it.
+   */
+  private noteReturn(machine: string, now: number): void {
+    const sent = this.sent.get(machine);
+    if (!sent) return;
+    this.sent.delete(machine);
+    const awayMs = now - sent.atMs;
+    if (awayMs > ANSWER_MS && awayMs < 4 * ANSWER_MS) this.shunned.set(sent.to, now + SHUN_MS);
+  }
+
   private flushSoon(): void {
     if (this.flushSet || this.stopped) return;
     this.flushSet = true;
@@ -304,7 +393,12 @@
       if (now - k.heardMs > FORGET_MS) this.known.delete(name);
       else if (now - k.heardMs < 2500 * this.o.reportS) this.machines++;
     }
+    for (const [machine, s] of this.sent) if (now - s.atMs > 5 * ANSWER_MS) this.sent.delete(machine);
     if (!this.mandate) this.flush();
+    if (now >= this.untilMs() && now < this.homeUntilMs) {
+      for (const node of this.neighbours)
+        this.o.toNeighbour(node, { kind: "alone", from: this.o.node, term: this.term });
+    }
   }
 }
 
@@ -321,19 +415,26 @@
   lagMs: number;
   isKnown: boolean;
   homes: Grant["homes"];
+  /** The worker's. */
+  zone: string;
+  zoneOf: (node: string) => string;
 }): string | null {
+  // In their own zone, where there are controllers, so that a cut between zones takes nobody's controller away.
+  const near = facts.homes.filter((h) => facts.zoneOf(h.node) === facts.zone);
+  const homes = near.length > 0 ? near : facts.homes;
   const share = (node: string): number => (node === facts.leader ? facts.leaderShare : 1);
   let total = 0;
   let weight = 0;
   let mine: Grant["homes"][number] | null = null;
   let best: Grant["homes"][number] | null = null;
-  for (const h of facts.homes) {
+  for (const h of homes) {
     total += h.machines;
     weight += share(h.node);
     if (h.node === facts.node) mine = h;
     else if (h.lagMs <= SLOW_MS && (!best || h.machines / share(h.node) < best.machines / share(best.node)))
       best = h;
   }
+  if (best && near.length > 0 && facts.zoneOf(facts.node) !== facts.zone) return best.node;
   if (!best || !mine) return null;
   const fair = total / weight;
   if (facts.lagMs > SLOW_MS) return facts.lagMs >= best.lagMs * 3 ? best.node : null;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../protocol/model.js";
+import type { JobSpec, MachineType } from "../protocol/model.js";
 import type { Amount } from "../bookkeeping/machines.js";
 import { addTo, allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
 import type { JobView, MachineView, QuotaView, VictimView } from "./views.js";
@@ -68,6 +68,15 @@
 /** Seconds of a start that one more place left in a zone is worth to a gang that comes after. */
 const SPARE_S = 0.2;
 
+/** A place at twice the lowest price is put off by so many seconds; at any price by no more than that. */
+const DEAR_S = 25;
+const DEAREST_S = 30;
+
+/** What one task's part of a machine costs when it is full of them. */
+function placePrice(spec: JobSpec, type: MachineType): number {
+  return type.price / howMany(spec, type);
+}
+
 /** Lower is better; roughly seconds. */
 function cost(job: JobView, m: MachineView, nowMs: number, takenPerH: number): number {
   const { spec } = job;
@@ -133,6 +142,7 @@
   /** Shapes that fitted nowhere: in one pass room only shrinks, so what asks for no less fits nowhere either. */
   private readonly hopeless: JobSpec[] = [];
   private readonly open: MachineView[];
+  private readonly types: Set<MachineType>;
   /** Shapes for which nobody's going would help: in one pass that stays so. */
   private readonly barren = new Set<string>();
   private makers = 0;
@@ -159,6 +169,7 @@
       const spec = wanted.get(h.jobId);
       if (m && !m.held && spec) this.keep(m, spec, h.tasks, h.etaS);
     }
+    this.types = new Set(i.machines.map((m) => m.type));
     this.plan.looked += i.machines.length;
     this.open = i.machines.filter(
       (m) =>
@@ -310,7 +321,16 @@
   }
 
   private cost(job: JobView, m: MachineView): number {
-    return cost(job, m, this.i.nowMs, this.i.takenPerH);
+    const c = cost(job, m, this.i.nowMs, this.i.takenPerH);
+    return job.spec.gpus > 0 ? c + this.dearness(job.spec, m.type) : c;
+  }
+
+  /** Seconds that a place there is worth less because it costs more than the cheapest kind of place. */
+  private dearness(spec: JobSpec, type: MachineType): number {
+    let lowest = Infinity;
+    for (const t of this.types)
+      if (spec.types === null || spec.types.includes(t.name)) lowest = Math.min(lowest, placePrice(spec, t));
+    return Math.min(DEAREST_S, DEAR_S * (placePrice(spec, type) / lowest - 1) || 0);
   }
 
   /** Tasks of it that the zone's open machines hold. */
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -7,7 +7,7 @@
 import { place, type Hold, type PlacementPlan } from "./placement.js";
 import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import type { Reign } from "./reign.js";
-import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
+import { emptyView, takeFrom, type JobView, type MachineView, type VictimView } from "./views.js";
 
 const PASS_DELAY_MS = 3;
 /**
@@ -17,6 +17,10 @@
 const GAP_MS = 40;
 const GAP_TIMES = 10;
 const MAX_GAP_MS = 400;
+/** Estimates are rough: only what should end in this part of a boot is counted on. */
+const FREED_PART = 0.6;
+/** A job is late from this part of its class's loosest wish on. */
+const LATE_PART = 0.5;
 /** Room that others were stopped for is kept so long; a gang's so long, while the rest of it comes. */
 const HOLD_MS = 6000;
 const GANG_HOLD_MS = 180_000;
@@ -120,7 +124,28 @@
     for (const v of plan.touched) this.views.delete(v.name);
     this.keepHolds(plan.holds, now);
     this.carryOut(plan, now);
-    r.fleet.rent(plan, coming);
+    r.fleet.rent(plan, coming, () => this.freeing(now));
+  }
+
+  /** Accelerators that should come free well before one rented now would be up. */
+  private freeing(now: number): MachineView[] {
+    const out: MachineView[] = [];
+    for (const m of this.r.machines.values()) {
+      if (!m.type || m.type.gpus === 0 || m.state !== "up" || m.cordoned || !m.hears) continue;
+      let view: MachineView | null = null;
+      for (const a of m.attempts) {
+        const { spec } = a.job;
+        if (spec.gpus === 0 || a.phase !== "running" || this.leftS(a, now) > m.type.bootS * FREED_PART)
+          continue;
+        if (!view) {
+          view = emptyView(m.type, m.zone, m.spot, null);
+          view.free = { cpus: 0, gpus: 0, memoryGb: 0 };
+          out.push(view);
+        }
+        takeFrom(view.free, spec, -1);
+      }
+    }
+    return out;
   }
 
   /** Room there is kept for somebody, so it is not idle. */
@@ -166,11 +191,23 @@
       taskS,
       gpus: spec.gpus > 0,
       aged,
+      late: waitedS > LATE_PART * this.patienceS(spec.className),
+      wide: (spec.gpus || spec.cpus) * (job.pending + job.attempts.size),
       work: (spec.gpus || spec.cpus) * (job.pending * taskS + runningS),
       since: job.acceptedAt.getTime(),
     };
   }
 
+  /** The longest that the operator wishes anything of that class to take; a job's own deadline says nothing of it. */
+  private patienceS(className: string): number {
+    let longestS = 0;
+    for (const o of this.o.platform.objectives) {
+      if (o.className === className && (o.kind === "finished" || o.kind === "wait"))
+        longestS = Math.max(longestS, o.withinS ?? 0);
+    }
+    return longestS > 0 ? longestS : Infinity;
+  }
+
   private wishes(job: Job): number[] {
     let wishes = this.wished.get(job);
     if (!wishes) {
--- a/src/coordination/queue.ts
+++ b/src/coordination/queue.ts
@@ -38,10 +38,14 @@
   gpus: boolean;
   /** Nothing of it has begun for too long, however small what passed it was. */
   aged: boolean;
+  /** Half of its class's loosest wish is over, and it isn't done. */
+  late: boolean;
   /** Seconds from now at which it should be complete, the nearest wish first; later wishes are looser. */
   duesS: number[];
   /** Seconds that a single task of it still takes. */
   taskS: number;
+  /** Cpus, or accelerators, that all that is left of it would take at once. */
+  wide: number;
   /** What is left to do, in cpu seconds. */
   work: number;
   /** When it was accepted, for what nothing else decides. */
@@ -69,6 +73,9 @@
  * wish, and the others keep theirs. Those that stepped back are tried again at their next, looser wish; what can't
  * meet any comes last, the smallest first. Pure.
  */
+/** Of a priority's room, what is late may take so much before those who can still be in time. */
+const LATE_SHARE = 0.35;
+
 export function serveOrder(
   entries: QueueEntry[],
   roomOf: (priority: number, gpus: boolean) => number,
@@ -78,15 +85,45 @@
   for (const rank of ranks) {
     const ranked = entries.filter((e) => e.priority === rank);
     // Stepping back has an end: who has waited too long comes first, the longest wait before the others.
-    out.push(...ranked.filter((e) => e.aged).sort((a, b) => a.since - b.since || (a.id < b.id ? -1 : 1)));
+    out.push(...ranked.filter((e) => e.aged).sort(bySince));
     for (const gpus of [true, false]) {
       const like = ranked.filter((e) => !e.aged && e.gpus === gpus);
-      if (like.length > 0) out.push(...inRank(like, Math.max(1, roomOf(rank, gpus))));
+      if (like.length === 0) continue;
+      const room = Math.max(1, roomOf(rank, gpus));
+      const first = lateFirst(like, room * LATE_SHARE);
+      if (first.length === 0) {
+        out.push(...inRank(like, room));
+        continue;
+      }
+      // Counted on twice, that part of the room would make everybody else a little late.
+      let left = room;
+      for (const e of first) left -= e.wide;
+      const rest = like.filter((e) => !first.includes(e));
+      out.push(...first, ...inRank(rest, Math.max(left, room * (1 - LATE_SHARE) * 0.8)));
     }
   }
   return out;
 }
 
+/**
+ * Who has begun may have stepped back for good as well: the largest jobs, again and again. So what is late goes on
+ * before the others, the oldest first, in a part of the room; the rest stays with those who can be in time.
+ */
+function lateFirst(entries: QueueEntry[], room: number): QueueEntry[] {
+  const out: QueueEntry[] = [];
+  let left = room;
+  for (const e of entries.filter((e) => e.late).sort(bySince)) {
+    if (left <= 0) break;
+    left -= e.wide;
+    out.push(e);
+  }
+  return out;
+}
+
+function bySince(a: QueueEntry, b: QueueEntry): number {
+  return a.since - b.since || (a.id < b.id ? -1 : 1);
+}
+
 /** `room` is shared by the guaranteed, who come first, and the others. */
 function inRank(entries: QueueEntry[], room: number): QueueEntry[] {
   const out: QueueEntry[] = [];
--- a/src/coordination/reign.ts
+++ b/src/coordination/reign.ts
@@ -1,11 +1,13 @@
 import type { Job } from "../bookkeeping/jobs.js";
 import { Machine } from "../bookkeeping/machines.js";
 import { Usage } from "../bookkeeping/usage.js";
+import { log } from "../transport/log.js";
 import { Archive, LAZY_WRITE_MS } from "./archive.js";
 import { Attempts } from "./attempts.js";
 import type { ConductorOptions } from "./conductor.js";
 import type { Mandate } from "./election.js";
-import { firstAttempt, firstToken } from "./fences.js";
+import { firstAttempt, firstToken, homeGrantMs, KNOWN_LATE_MS } from "./fences.js";
+import { FleetUse } from "./fleetUse.js";
 import type { Lore } from "./lore.js";
 import { Rounds } from "./magnet/rounds.js";
 import { Placer } from "./placer.js";
@@ -17,6 +19,9 @@
 const BEHIND_MS = 700;
 const BEHIND_FOR_MS = 6000;
 
+/** What the fleet does is told in the log this often. */
+const TELL_USE_MS = 60_000;
+
 /** Everything that one term's leader knows, by the part that owns it. Thrown away whole with the term. */
 export class Reign {
   loaded = false;
@@ -27,14 +32,17 @@
   readonly machines = new Map<string, Machine>();
   readonly removed = new Set<string>();
   readonly usage: Usage;
-  readonly servers = new Servers();
+  readonly servers: Servers;
   nextAttempt: number;
+  private readonly homeMs: number;
   private lastListMs = -Infinity;
   private lastTypesMs: number;
   private lastTallyMs = -Infinity;
   private lastFullTallyMs = -Infinity;
   private readonly tallied = new Map<Job, { done: number; running: number }>();
   private behindSinceMs = Infinity;
+  private readonly use = new FleetUse();
+  private toldUseMs: number;
   readonly startedMs: number;
   readonly attempts: Attempts;
   readonly archive: Archive;
@@ -49,9 +57,13 @@
     private readonly lore: Lore,
   ) {
     this.startedMs = o.clock.nowMs();
+    this.toldUseMs = this.startedMs;
     this.usage = new Usage(o.platform.teams);
     this.nextAttempt = firstAttempt(mandate.term);
     this.lastTypesMs = lore.typesKnown ? this.startedMs : -Infinity;
+    const { platform } = o;
+    this.homeMs = homeGrantMs(platform.cancelS, platform.leaseS);
+    this.servers = new Servers(new Map(platform.peers.map((p) => [p.name, p.zone])), this.homeMs);
     this.attempts = new Attempts(this);
     this.archive = new Archive(this, o, lore);
     this.supervisor = new Supervisor(this, o, lore);
@@ -64,6 +76,20 @@
     return this.o.clock.nowMs() < this.mandate.fullUntilMs;
   }
 
+  /**
+   * How long a controller may keep that zone's workers alive if it is cut off with them from now on; 0: not at all. No
+   * cancellation may be unknown here, or known and not yet carried out there.
+   */
+  homeFor(zone: string): number {
+    if (this.homeMs === 0 || !this.loaded || !this.full()) return 0;
+    if (this.o.clock.nowMs() - this.archive.knownToMs > KNOWN_LATE_MS) return 0;
+    for (const job of this.jobs.values()) {
+      if (!job.cancelled) continue;
+      for (const a of job.attempts) if (a.machine.zone === zone || a.machine.zone === "") return 0;
+    }
+    return this.homeMs;
+  }
+
   machine(name: string, zone: string): Machine {
     let m = this.machines.get(name);
     if (!m) {
@@ -97,8 +123,11 @@
       const self = { node: platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
       this.o.onHomes(this.servers.homes(self, now));
       this.tally(now);
+      this.tellUse(now);
     }
     if (!this.full()) return;
+    const homeMs = this.homeFor(platform.zone);
+    if (homeMs > 0) this.o.onHome(now + homeMs);
     this.handOver(now);
     this.supervisor.superviseAll(now);
     if (now - this.rounds.lastRoundMs > operator.elapseS * 1000) this.rounds.round(now);
@@ -106,6 +135,14 @@
     if (this.archive.garbage.size > 0) this.archive.requestWrite(LAZY_WRITE_MS);
   }
 
+  private tellUse(now: number): void {
+    this.use.sample(this.machines.values());
+    if (now - this.toldUseMs < TELL_USE_MS) return;
+    this.toldUseMs = now;
+    const told = this.use.told();
+    if (told !== null) log.info(`fleet in the last minute: ${told}`);
+  }
+
   /** A leader that can't keep up makes everybody wait; one that can takes over within a second. */
   private handOver(now: number): void {
     const lagMs = this.o.lagMs();
--- a/src/coordination/servers.ts
+++ b/src/coordination/servers.ts
@@ -6,6 +6,10 @@
 const MIN_GAP_MS = 250;
 
 interface Book extends ServerFacts {
+  /** After this it acknowledges nothing of its own zone's workers either. */
+  homeUntilMs: number;
+  /** Before this it may have acknowledged anything of its own zone, under an earlier leader. */
+  homeBlindMs: number;
   life: number;
   seq: number;
   machines: number;
@@ -22,12 +26,22 @@
 export class Servers {
   private readonly books = new Map<string, Book>();
 
+  constructor(
+    /** The other controllers' zones. */
+    private readonly zones: ReadonlyMap<string, string>,
+    /** The longest that an earlier leader can have given a controller its own zone for. */
+    private readonly homeMs: number,
+  ) {}
+
   /** What came in, in its order; a gap in it makes everything before this moment unknown. */
   heard(s: Serving, nowMs: number): void {
     let book = this.books.get(s.from);
     if (!book) {
       book = {
         grantUntilMs: -Infinity,
+        homeUntilMs: -Infinity,
+        // With its first frame of this term it has given up what an earlier leader gave it.
+        homeBlindMs: nowMs,
         // In this term it could acknowledge nothing before its first grant.
         coveredMs: nowMs,
         blindMs: -Infinity,
@@ -62,6 +76,7 @@
     nowMs: number,
     ackUntilMs: number,
     served: boolean,
+    homeMs = 0,
   ): Grant | null {
     const book = this.books.get(s.from);
     const forMs = Math.floor(Math.min(GRANT_MS, ackUntilMs - nowMs));
@@ -69,6 +84,7 @@
     book.grantedMs = nowMs;
     // It counts from when it asked, which was before now.
     book.grantUntilMs = Math.max(book.grantUntilMs, nowMs + forMs * (1 + 2 * DRIFT) + 10);
+    if (homeMs > 0) book.homeUntilMs = Math.max(book.homeUntilMs, nowMs + homeMs * (1 + 2 * DRIFT) + 10);
     const { resync } = book;
     book.resync = false;
     return {
@@ -78,6 +94,7 @@
       life: s.life,
       askMs: s.askMs,
       forMs,
+      homeMs,
       stampMs: Math.floor(nowMs),
       served,
       resync,
@@ -99,8 +116,26 @@
     if (book) book.resync = true;
   }
 
-  facts(): Iterable<ServerFacts> {
-    return this.books.values();
+  /**
+   * What counts for a machine of that zone (not known: of any). Who has not been heard in this term may still use what
+   * an earlier leader gave it, which had ended its own giving by `othersSilentFromMs`.
+   */
+  *facts(zone: string, othersSilentFromMs: number): Iterable<ServerFacts> {
+    for (const [node, home] of this.zones) {
+      const book = this.books.get(node);
+      const own = zone === "" || home === zone;
+      if (!book) {
+        if (!own || this.homeMs === 0) continue;
+        const grantUntilMs = othersSilentFromMs + this.homeMs * (1 + 2 * DRIFT);
+        yield { grantUntilMs, coveredMs: -Infinity, blindMs: -Infinity };
+      } else if (own) {
+        yield {
+          grantUntilMs: Math.max(book.grantUntilMs, book.homeUntilMs),
+          coveredMs: book.coveredMs,
+          blindMs: this.homeMs === 0 ? book.blindMs : Math.max(book.blindMs, book.homeBlindMs),
+        };
+      } else yield book;
+    }
   }
 
   /** Does any controller that we can hand over to keep up clearly better than we do? */
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -29,11 +29,16 @@
   /** Machines whose last errand got no answer: the next one goes from here. */
   private readonly detour = new Set<string>();
 
+  /** The other controllers' zones. */
+  private readonly zones: Map<string, string>;
+
   constructor(
     private readonly r: Reign,
     private readonly o: ConductorOptions,
     private readonly lore: Lore,
-  ) {}
+  ) {
+    this.zones = new Map(o.platform.peers.map((p) => [p.name, p.zone]));
+  }
 
   /** What a controller has acknowledged under our grant (or the gate beside us by our own mandate). */
   served(s: Serving): void {
@@ -50,7 +55,15 @@
     if (local) return;
     const self = { node: this.o.platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
     const { lastServedSentMs, lastRefusedMs } = this.o.state;
-    const grant = r.servers.grant(s, self, now, r.mandate.ackUntilMs, lastServedSentMs > lastRefusedMs);
+    const homeMs = r.homeFor(this.zones.get(s.from) ?? "");
+    const grant = r.servers.grant(
+      s,
+      self,
+      now,
+      r.mandate.ackUntilMs,
+      lastServedSentMs > lastRefusedMs,
+      homeMs,
+    );
     if (!grant) return;
     this.o.sendGrant(s.from, grant);
     // The gate beside us spreads workers as well, from the first moment on.
@@ -450,7 +463,8 @@
     // Nobody of an earlier term can have renewed it after `othersSilentFromMs`.
     const lastMs = Math.max(m.lastAckMs, r.mandate.othersSilentFromMs);
     if (now < leaseOverMs(lastMs, this.o.platform.leaseS)) return false;
-    return now >= silentFromMs(lastMs, r.servers.facts(), this.o.platform.leaseS);
+    const facts = r.servers.facts(m.zone, r.mandate.othersSilentFromMs);
+    return now >= silentFromMs(lastMs, facts, this.o.platform.leaseS);
   }
 
   /** Says again what has shown no effect yet. */
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -12,7 +12,7 @@
 } from "./model.js";
 
 /** Controllers of another version are refused: their frames may mean something else. */
-export const PEER_VERSION = 2;
+export const PEER_VERSION = 3;
 const MAGIC = "lichenturn";
 
 /** What a controller tells the leader of the workers that it serves; at the same time its request for a new grant. */
@@ -44,6 +44,8 @@
   life: number;
   askMs: number;
   forMs: number;
+  /** For workers of the asker's own zone, while the asker is cut off in company; 0: no longer than the rest. */
+  homeMs: number;
   stampMs: number;
   /** The state service serves the leader: a node that it refuses is alone with that. */
   served: boolean;
@@ -66,6 +68,8 @@
   | { kind: "tally"; from: string; term: number; jobs: { id: string; done: number; running: number }[] }
   | Serving
   | Grant
+  /** I have no right to acknowledge reports any more, and hear from no leader of this term. */
+  | { kind: "alone"; from: string; term: number }
   /** Carry these commands to workers. */
   | { kind: "errands"; from: string; term: number; errands: Errand[] }
   | { kind: "errands back"; from: string; term: number; results: ErrandResult[] };
@@ -81,6 +85,7 @@
   "grant",
   "errands",
   "errands back",
+  "alone",
 ];
 const PHASES: TaskPhase[] = ["fetching", "waiting", "running", "saving", "exited"];
 const CAUSES: (ExitCause | null)[] = [
@@ -174,6 +179,7 @@
       break;
     case "confirm?":
     case "confirm":
+    case "alone":
       w.number(message.term);
       break;
     case "tally":
@@ -190,7 +196,7 @@
       break;
     case "grant":
       w.number(message.term).number(message.life).number(message.askMs);
-      w.number(message.forMs).number(message.stampMs);
+      w.number(message.forMs).number(message.homeMs).number(message.stampMs);
       w.byte(message.served ? 1 : 0)
         .byte(message.resync ? 1 : 0)
         .number(message.homes.length);
@@ -242,6 +248,7 @@
       return { kind, from, term: r.number(), ask: r.number(), yes: r.flag() };
     case "confirm?":
     case "confirm":
+    case "alone":
       return { kind, from, term: r.number() };
     case "tally":
       return {
@@ -272,6 +279,7 @@
         life: r.number(),
         askMs: r.number(),
         forMs: r.number(),
+        homeMs: r.number(),
         stampMs: r.number(),
         served: r.flag(),
         resync: r.flag(),
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -23,22 +23,31 @@
   return `${jobId}/${task}`;
 }
 
-function splitTask(name: string): { jobId: string; task: number } | null {
-  const at = name.lastIndexOf("/");
-  const task = Number(name.slice(at + 1));
-  return at > 0 && Number.isInteger(task) && task >= 0 ? { jobId: name.slice(0, at), task } : null;
+const ZERO = 48;
+
+/** The number behind the last slash of a task's name, digit by digit: reports are read hundreds of times a second. */
+function taskNumber(name: string, at: number): number {
+  if (at + 1 >= name.length || name.length - at > 10) return -1;
+  let task = 0;
+  for (let i = at + 1; i < name.length; i++) {
+    const digit = name.charCodeAt(i) - ZERO;
+    if (digit < 0 || digit > 9) return -1;
+    task = task * 10 + digit;
+  }
+  return task;
 }
 
 function decodeTask(value: unknown): ReportedTask | null {
   const o = asObject(value);
-  const name = asText(o?.spore);
-  const split = name === null ? null : splitTask(name);
-  const attempt = asCount(o?.sprout);
-  const phase = PHASES[asText(o?.phase) ?? ""];
-  if (!o || !split || attempt === null || !phase) return null;
-  const word = asText(o.cause);
-  const cause = phase === "exited" ? (CAUSES[word ?? ""] ?? "other") : null;
-  return { ...split, attempt, phase, cause, saved: o.kept === true };
+  if (!o || typeof o.spore !== "string" || typeof o.phase !== "string") return null;
+  const name = o.spore;
+  const at = name.lastIndexOf("/");
+  const task = at > 0 ? taskNumber(name, at) : -1;
+  const attempt = asCount(o.sprout);
+  const phase = PHASES[o.phase];
+  if (task < 0 || attempt === null || !phase) return null;
+  const cause = phase === "exited" ? (CAUSES[asText(o.cause) ?? ""] ?? "other") : null;
+  return { jobId: name.slice(0, at), task, attempt, phase, cause, saved: o.kept === true };
 }
 
 /** A worker's report; null when it can't be one. A task we can't read spoils the whole report:
--- a/src/service.ts
+++ b/src/service.ts
@@ -114,6 +114,7 @@
       errand: (term, via, errand) => this.dispatch.errand(term, via, errand),
       sendGrant: send,
       onHomes: (homes) => this.gate.tell({ kind: "homes", homes }),
+      onHome: (untilMs) => this.gate.tell({ kind: "home", untilMs }),
       served: () => this.gate.served,
       lagMs,
       onDeposed: (term) => this.elector.tell({ kind: "deposed", term }),
@@ -129,10 +130,16 @@
     });
     this.gate = new Gate({
       node: platform.node,
+      zone: platform.zone,
+      zones: new Map([
+        [platform.node, platform.zone],
+        ...platform.peers.map((p): [string, string] => [p.name, p.zone]),
+      ]),
       life: Math.floor(out.random() * 2 ** 47),
       clock,
       reportS: platform.reportS,
       toLeader: send,
+      toNeighbour: send,
       toConductor: (serving) => this.conductor.tell({ kind: "serving", serving }),
       onLaterTerm: (term) => this.elector.tell({ kind: "deposed", term }),
       lagMs,
@@ -217,6 +224,9 @@
         if (message.served) this.leaderServedMs = this.out.clock.nowMs();
         this.gate.tell({ kind: "grant", grant: message });
         break;
+      case "alone":
+        this.gate.tell({ kind: "alone", from: message.from, term: message.term });
+        break;
       case "errands":
         this.dispatch.asked(message.from, message.term, message.errands);
         break;
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -127,8 +127,8 @@
     reports: [],
   };
   const self = { node: "n0", machines: 1, lagMs: 0 };
-  const facts = (s: Servers): object => ({ ...[...s.facts()][0] });
-  const s = new Servers();
+  const facts = (s: Servers): object => ({ ...[...s.facts("a", 0)][0] });
+  const s = new Servers(new Map([["n1", "b"]]), 9000);
   s.heard(ask, 10_000);
   assert.equal(s.grant(ask, self, 10_000, 10_500, true)?.forMs, 500, "no longer than the mandate");
   assert.equal(s.grant(ask, self, 10_600, 10_500, true), null, "none after it");
@@ -183,10 +183,20 @@
       { homes: [home("n0", 12), home("n1", 115), home("n2", 73)], leaderShare: 0.1 },
       "n2",
     ],
+    ["its own zone has a controller", { homes: even, isKnown: true, zone: "b" }, "n2"],
+    [
+      "its own zone's only controller is behind",
+      { homes: [even[0]!, even[1]!, home("n2", 80, 900)], zone: "b" },
+      null,
+    ],
+    ["a zone without controllers", { homes: even, zone: "c" }, null],
     ["nobody else has a grant", { homes: [home("n1", 200)] }, null],
   ];
   for (const [name, change, want] of cases) {
+    const zoneOf = (node: string): string => (name.includes("own zone") && node === "n2" ? "b" : "a");
     const facts = {
+      zone: "a",
+      zoneOf,
       node: "n1",
       leader: "n0",
       leaderShare: 0.5,
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -175,6 +175,7 @@
       term: 8,
       life: 2 ** 40,
       askMs: 4000,
+      homeMs: 22_500,
       forMs: 2000,
       stampMs: 90_400,
       served: true,
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -92,3 +92,62 @@
   assert.ok(w.cloud.tufts.has(ref), `${ref} is still rented`);
   assert.deepEqual(w.broken, []);
 });
+
+/**
+ * Inside a zone that is cut off its controllers go on acknowledging, so that what runs there outlives the cut; but no
+ * longer than a cancellation may take, for its stops can't come in either (rule `ran_cancelled`).
+ */
+const cutZones: { name: string; cutS: number; leaderInside: boolean; crashS?: number; survives: boolean }[] =
+  [
+    { name: "longer than two leases", cutS: 17, leaderInside: false, survives: true },
+    { name: "with the leader in it", cutS: 17, leaderInside: true, survives: true },
+    { name: "while the leader outside ends", cutS: 17, leaderInside: false, crashS: 5, survives: true },
+    { name: "longer than a cancellation may take", cutS: 45, leaderInside: false, survives: false },
+  ];
+for (const [i, c] of cutZones.entries()) {
+  test(`a zone with controllers is cut off: ${c.name}`, async () => {
+    const zones = ["a", "a", "a", "b", "b"];
+    const w = new World(300 + i, { size: 5, zones, capacity: 16 });
+    await w.run(3);
+    const inside = (name: string): boolean => zones[w.names.indexOf(name)] === "b";
+    for (let n = 0; inside(w.leader ?? "") !== c.leaderInside && n < 40; n++) {
+      w.crash(w.leader ?? "n0", 2500);
+      await w.run(3);
+    }
+    assert.equal(inside(w.leader!), c.leaderInside);
+    const refs = Array.from({ length: 5 }, (_, n) => `job-00000${n}`);
+    for (const [n, ref] of refs.entries()) {
+      const crew = n % 2 ? "one" : "two";
+      w.submit(
+        { ref, crew, form: "standing", rank: "prod", spores: 4, cores: 1, windfall: false, scatter: true },
+        null,
+      );
+    }
+    await w.run(25);
+    const inB = (): string[] =>
+      refs
+        .flatMap((ref) => w.live(ref))
+        .filter((x) => x.w.tuft.patch === "b")
+        .map((x) => `${x.task.spore} ${x.task.sprout}`);
+    const before = inB();
+    assert.ok(before.length >= 5, `${before.length} replicas in the zone`);
+    const within = (h: string): boolean =>
+      h === "n3:80" ||
+      h === "n4:80" ||
+      [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+    w.net.cut(within, (h) => !within(h), c.cutS * 1000);
+    if (c.crashS !== undefined) w.clock.after(c.crashS * 1000, () => w.crash(w.leader ?? "n0", 2000));
+    await w.run(2);
+    // Told cancelled, its replicas behind the cut must be gone in time all the same.
+    const cancelled = w.jobs.get(refs[0]!)!;
+    w.cancel(cancelled);
+    await w.run(c.cutS - 2.5);
+    const kept = before.filter((t) => !t.startsWith(`${refs[0]}/`));
+    const still = new Set(inB());
+    assert.equal(kept.filter((t) => still.has(t)).length, c.survives ? kept.length : 0);
+    await w.run(35);
+    assert.equal(cancelled.told, "withdrawn");
+    for (const ref of refs.slice(1)) assert.equal(w.live(ref).length, 4, `${ref}: all replicas run`);
+    assert.deepEqual(w.broken, []);
+  });
+}
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -64,6 +64,8 @@
 export interface WorldOptions {
   /** Controllers. */
   size?: number;
+  /** Each controller's zone; all in "a" unless said. */
+  zones?: string[];
   /** Machines that the cloud has. */
   capacity?: number;
   limits?: Limits;
@@ -73,7 +75,8 @@
 /** A job about which no question is answered for so long is forgotten. */
 const FORGOTTEN_MS = 75_000;
 
-export function platformOf(name: string, nodes: string[], limits = LIMITS): Platform {
+export function platformOf(name: string, nodes: string[], limits = LIMITS, zones: string[] = []): Platform {
+  const zoneOf = (node: string): string => zones[nodes.indexOf(node)] ?? "a";
   const team = (n: "one" | "two"): Platform["teams"][number] => ({
     name: n,
     cpus: 8,
@@ -83,10 +86,10 @@
   });
   return {
     node: name,
-    zone: "a",
+    zone: zoneOf(name),
     listen: `${name}:80`,
     peerListen: `${name}:81`,
-    peers: nodes.filter((n) => n !== name).map((n) => ({ name: n, zone: "a", address: `${n}:81` })),
+    peers: nodes.filter((n) => n !== name).map((n) => ({ name: n, zone: zoneOf(n), address: `${n}:81` })),
     cloud: "cloud:1",
     state: "state:1",
     size: nodes.length,
@@ -224,7 +227,10 @@
         }),
     };
     node.controller = new Controller(
-      { ...platformOf(name, this.names, this.limits), objectives: this.options.objectives ?? [] },
+      {
+        ...platformOf(name, this.names, this.limits, this.options.zones),
+        objectives: this.options.objectives ?? [],
+      },
       operatorDefaults,
       {
         clock: {
