--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -91,6 +91,8 @@
   if (spec.gpus === 0 && m.type.gpus > 0) c += 8;
   // A zone without controllers is silent when it is cut off, and its leases run out.
   if (spec.kind === "service" && !m.withControllers) c += 3;
+  // A service stays, and with it its machine: on a large one it would pay for all the room around it.
+  if (spec.kind === "service") c += Math.min(8, m.type.price * 2);
   // Dear machines last, so that they are the ones that empty and are given back.
   c += Math.min(12, (m.spot ? m.type.spotPrice : m.type.price) / 2.5);
   // What has been idle longest is left idle, until it is given back.
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -20,7 +20,7 @@
 /** Estimates are rough: only what should end in this part of a boot is counted on. */
 const FREED_PART = 0.6;
 /** A job is late from this part of its class's loosest wish on. */
-const LATE_PART = 0.5;
+const LATE_PART = 0.6;
 /** Room that others were stopped for is kept so long; a gang's so long, while the rest of it comes. */
 const HOLD_MS = 6000;
 const GANG_HOLD_MS = 180_000;
--- a/src/coordination/queue.ts
+++ b/src/coordination/queue.ts
@@ -38,7 +38,7 @@
   gpus: boolean;
   /** Nothing of it has begun for too long, however small what passed it was. */
   aged: boolean;
-  /** Half of its class's loosest wish is over, and it isn't done. */
+  /** Most of its class's loosest wish is over, and it isn't done. */
   late: boolean;
   /** Seconds from now at which it should be complete, the nearest wish first; later wishes are looser. */
   duesS: number[];
