--- a/src/coordination/archive.ts
+++ b/src/coordination/archive.ts
@@ -85,6 +85,8 @@
       `term ${this.r.mandate.term}: ${this.r.jobs.size} live jobs, ${this.r.machines.size} machines known`,
     );
     for (const m of this.r.machines.values()) if (m.state === "up") this.r.supervisor.digest(m);
+    // What came up while we read (the types, first of all) has waited for this.
+    this.requestWrite(0);
     this.watch();
     this.r.placer.requestPass();
   }
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -138,7 +138,9 @@
     }
     if (this.reign) this.reign.over = true;
     this.reign = mandate ? new Reign(mandate, this.o, this.lore) : null;
-    this.reign?.archive.load();
+    if (!this.reign) return;
+    this.reign.archive.load();
+    this.tell({ kind: "tick" });
   }
 
   private heardFromCloud(news: CloudNews): void {
@@ -159,7 +161,10 @@
 
   private tick(): void {
     if (this.stopped) return;
+    this.timer?.cancel();
+    // Without a term there is nothing to do: the next one begins it.
+    if (!this.reign) return;
     this.timer = this.o.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
-    this.reign?.tick(this.o.clock.nowMs());
+    this.reign.tick(this.o.clock.nowMs());
   }
 }
--- a/src/coordination/dispatch.ts
+++ b/src/coordination/dispatch.ts
@@ -3,8 +3,9 @@
 import type { Clock } from "../transport/clock.js";
 import type { Courier } from "./courier.js";
 
-/** Errands that come up together travel together. */
-const GATHER_MS = 2;
+/** Errands that come up together travel together, and so do their results, which nobody waits for. */
+const GATHER_MS = 5;
+const GATHER_BACK_MS = 25;
 /** Commands in one frame; a stop of a huge job must not make a frame too long. */
 const MAX_COMMANDS = 1500;
 
@@ -65,7 +66,7 @@
     }
     const batch = { term, results: [result] };
     this.returning.set(to, batch);
-    this.clock.after(GATHER_MS, () => {
+    this.clock.after(GATHER_BACK_MS, () => {
       if (this.returning.get(to) === batch) this.returning.delete(to);
       // A lost result is an errand without an answer: its sender counts on nothing.
       this.send(to, { kind: "errands back", from: this.node, term, results: batch.results });
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -47,8 +47,8 @@
 }
 
 const TICK_MS = 500;
-/** Changes wait this long for company. */
-const GATHER_MS = 8;
+/** Changes wait this long for company: each frame wakes this process and the leader's. */
+const GATHER_MS = 40;
 /** A worker that has not reported for so long is forgotten here; the leader knows more. */
 const FORGET_MS = 60_000;
 /** Tasks in the reports of one frame. */
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -14,7 +14,7 @@
  * Passes are no closer together than this, nor than some times what the last one took: what ends or comes meanwhile is
  * placed in company. Several times a pass's own length left the leader of 627 machines no time for anything else.
  */
-const GAP_MS = 40;
+const GAP_MS = 50;
 const GAP_TIMES = 10;
 const MAX_GAP_MS = 400;
 /** Estimates are rough: only what should end in this part of a boot is counted on. */
