--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -15,8 +15,6 @@
   types: MachineType[];
   /** Machines on their way, rented or asked for. */
   coming: MachineView[];
-  /** What should come free before a machine rented now would be up, machine by machine. */
-  freeing: MachineView[];
   /** True while the cloud has lately had none of these. */
   refused: (type: string, zone: string, spot: boolean) => boolean;
   maxMachines: number;
@@ -54,7 +52,6 @@
       if ((spec.gpus === 0 && m.claim) || (only !== null && m.zone !== only)) continue;
       if (allows(spec, m.type.name, m.zone, m.spot) && fits(spec, m.free)) put(m);
     }
-    if (left > 0 && spec.gpus > 0 && waitsForFreed(spec, left, only, input.freeing)) continue;
     const cheapest = ordinaryPrice(spec, input.types);
     while (left > 0 && machines < input.maxMachines) {
       let best: { type: MachineType; zone: string; spot: boolean; cost: number } | null = null;
@@ -92,33 +89,6 @@
   return [...wishes.values()];
 }
 
-/**
- * Accelerators are dear, and one that comes free sooner than a new one is up serves as well: renting for every moment's
- * line left a quarter of them idle. All that is missing must come free, in one zone where the job needs that.
- */
-function waitsForFreed(spec: JobSpec, want: number, only: string | null, freeing: MachineView[]): boolean {
-  const byZone = new Map<string, { machines: MachineView[]; tasks: number }>();
-  for (const m of freeing) {
-    if ((only !== null && m.zone !== only) || !allows(spec, m.type.name, m.zone, m.spot)) continue;
-    const n = howMany(spec, m.free);
-    if (n <= 0) continue;
-    const zone = spec.oneZone ? m.zone : "";
-    const found = byZone.get(zone) ?? { machines: [], tasks: 0 };
-    byZone.set(zone, found);
-    found.machines.push(m);
-    found.tasks += n;
-    if (found.tasks < want) continue;
-    let left = want;
-    for (const f of found.machines) {
-      const taken = Math.min(left, howMany(spec, f.free));
-      takeFrom(f.free, spec, taken);
-      left -= taken;
-    }
-    return true;
-  }
-  return false;
-}
-
 /** Lowest ordinary price of one task's room. */
 function ordinaryPrice(spec: JobSpec, types: MachineType[]): number {
   let lowest = Infinity;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -1,4 +1,4 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { JobSpec } from "../protocol/model.js";
 import type { Amount } from "../bookkeeping/machines.js";
 import { addTo, allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
 import type { JobView, MachineView, QuotaView, VictimView } from "./views.js";
@@ -68,14 +68,8 @@
 /** Seconds of a start that one more place left in a zone is worth to a gang that comes after. */
 const SPARE_S = 0.2;
 
-/** A place at twice the lowest price is put off by so many seconds; at any price by no more than that. */
-const DEAR_S = 25;
-const DEAREST_S = 30;
-
-/** What one task's part of a machine costs when it is full of them. */
-function placePrice(spec: JobSpec, type: MachineType): number {
-  return type.price / howMany(spec, type);
-}
+/** A machine that holds more of a service's tasks than this is a large one to it. */
+const ROOMY = 16;
 
 /** Lower is better; roughly seconds. */
 function cost(job: JobView, m: MachineView, nowMs: number, takenPerH: number): number {
@@ -92,7 +86,7 @@
   // A zone without controllers is silent when it is cut off, and its leases run out.
   if (spec.kind === "service" && !m.withControllers) c += 3;
   // A service stays, and with it its machine: on a large one it would pay for all the room around it.
-  if (spec.kind === "service") c += Math.min(8, m.type.price * 2);
+  if (spec.kind === "service") c += Math.min(6, Math.max(0, howMany(spec, m.type) - ROOMY) / 3);
   // Dear machines last, so that they are the ones that empty and are given back.
   c += Math.min(12, (m.spot ? m.type.spotPrice : m.type.price) / 2.5);
   // What has been idle longest is left idle, until it is given back.
@@ -144,7 +138,6 @@
   /** Shapes that fitted nowhere: in one pass room only shrinks, so what asks for no less fits nowhere either. */
   private readonly hopeless: JobSpec[] = [];
   private readonly open: MachineView[];
-  private readonly types: Set<MachineType>;
   /** Shapes for which nobody's going would help: in one pass that stays so. */
   private readonly barren = new Set<string>();
   private makers = 0;
@@ -171,7 +164,6 @@
       const spec = wanted.get(h.jobId);
       if (m && !m.held && spec) this.keep(m, spec, h.tasks, h.etaS);
     }
-    this.types = new Set(i.machines.map((m) => m.type));
     this.plan.looked += i.machines.length;
     this.open = i.machines.filter(
       (m) =>
@@ -323,16 +315,7 @@
   }
 
   private cost(job: JobView, m: MachineView): number {
-    const c = cost(job, m, this.i.nowMs, this.i.takenPerH);
-    return job.spec.gpus > 0 ? c + this.dearness(job.spec, m.type) : c;
-  }
-
-  /** Seconds that a place there is worth less because it costs more than the cheapest kind of place. */
-  private dearness(spec: JobSpec, type: MachineType): number {
-    let lowest = Infinity;
-    for (const t of this.types)
-      if (spec.types === null || spec.types.includes(t.name)) lowest = Math.min(lowest, placePrice(spec, t));
-    return Math.min(DEAREST_S, DEAR_S * (placePrice(spec, type) / lowest - 1) || 0);
+    return cost(job, m, this.i.nowMs, this.i.takenPerH);
   }
 
   /** Tasks of it that the zone's open machines hold. */
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -7,7 +7,7 @@
 import { place, type Hold, type PlacementPlan } from "./placement.js";
 import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import type { Reign } from "./reign.js";
-import { emptyView, takeFrom, type JobView, type MachineView, type VictimView } from "./views.js";
+import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
 
 const PASS_DELAY_MS = 3;
 /**
@@ -17,8 +17,8 @@
 const GAP_MS = 50;
 const GAP_TIMES = 10;
 const MAX_GAP_MS = 400;
-/** Estimates are rough: only what should end in this part of a boot is counted on. */
-const FREED_PART = 0.6;
+/** Wishes that are at least so many times apart leave a long time in which a job is nobody's concern. */
+const FAR_APART = 2.5;
 /** A job is late from this part of its class's loosest wish on. */
 const LATE_PART = 0.6;
 /** Room that others were stopped for is kept so long; a gang's so long, while the rest of it comes. */
@@ -124,28 +124,7 @@
     for (const v of plan.touched) this.views.delete(v.name);
     this.keepHolds(plan.holds, now);
     this.carryOut(plan, now);
-    r.fleet.rent(plan, coming, () => this.freeing(now));
-  }
-
-  /** Accelerators that should come free well before one rented now would be up. */
-  private freeing(now: number): MachineView[] {
-    const out: MachineView[] = [];
-    for (const m of this.r.machines.values()) {
-      if (!m.type || m.type.gpus === 0 || m.state !== "up" || m.cordoned || !m.hears) continue;
-      let view: MachineView | null = null;
-      for (const a of m.attempts) {
-        const { spec } = a.job;
-        if (spec.gpus === 0 || a.phase !== "running" || this.leftS(a, now) > m.type.bootS * FREED_PART)
-          continue;
-        if (!view) {
-          view = emptyView(m.type, m.zone, m.spot, null);
-          view.free = { cpus: 0, gpus: 0, memoryGb: 0 };
-          out.push(view);
-        }
-        takeFrom(view.free, spec, -1);
-      }
-    }
-    return out;
+    r.fleet.rent(plan, coming);
   }
 
   /** Room there is kept for somebody, so it is not idle. */
@@ -192,20 +171,33 @@
       gpus: spec.gpus > 0,
       aged,
       late: waitedS > LATE_PART * this.patienceS(spec.className),
+      allowed: Infinity,
+      tasks: job.pending + job.attempts.size,
       wide: (spec.gpus || spec.cpus) * (job.pending + job.attempts.size),
       work: (spec.gpus || spec.cpus) * (job.pending * taskS + runningS),
       since: job.acceptedAt.getTime(),
     };
   }
 
-  /** The longest that the operator wishes anything of that class to take; a job's own deadline says nothing of it. */
+  /**
+   * The longest that the operator wishes anything of that class to take; a job's own deadline says nothing of it. Where
+   * a tighter wish is not far from it, those who stepped back are tried again soon enough as it is: Infinity.
+   */
   private patienceS(className: string): number {
     let longestS = 0;
     for (const o of this.o.platform.objectives) {
       if (o.className === className && (o.kind === "finished" || o.kind === "wait"))
         longestS = Math.max(longestS, o.withinS ?? 0);
     }
-    return longestS > 0 ? longestS : Infinity;
+    const near = this.o.platform.objectives.some(
+      (o) =>
+        o.className === className &&
+        o.kind === "finished" &&
+        o.withinS !== null &&
+        o.withinS < longestS &&
+        o.withinS * FAR_APART > longestS,
+    );
+    return longestS > 0 && !near ? longestS : Infinity;
   }
 
   private wishes(job: Job): number[] {
@@ -253,7 +245,7 @@
     return {
       spec: e.job.spec,
       pending: e.job.pending,
-      limit: e.aged && e.job.spec.kind === "array" ? Math.max(4, Math.ceil(e.job.spec.tasks / 8)) : Infinity,
+      limit: this.limit(e),
       taskS: e.job.spec.kind === "service" ? Infinity : e.taskS,
       aged: e.aged,
       guaranteed: e.guaranteed,
@@ -264,6 +256,13 @@
     };
   }
 
+  /** Tasks to place now: the first of an array that has waited long, or what its part of the room still holds. */
+  private limit(e: QueueEntry): number {
+    const { spec, attempts } = e.job;
+    if (e.aged && spec.kind === "array") return Math.max(4, Math.ceil(spec.tasks / 8));
+    return spec.kind === "array" ? Math.max(0, e.allowed - attempts.size) : Infinity;
+  }
+
   private quickS(job: Job, now: number): number | null {
     for (const o of this.o.platform.objectives) {
       if (o.kind !== "wait" || o.className !== job.spec.className || o.withinS === null) continue;
--- a/src/coordination/queue.ts
+++ b/src/coordination/queue.ts
@@ -40,10 +40,14 @@
   aged: boolean;
   /** Most of its class's loosest wish is over, and it isn't done. */
   late: boolean;
+  /** Tasks that it may have running: what is late keeps to its part of the room. Set by `serveOrder`. */
+  allowed: number;
   /** Seconds from now at which it should be complete, the nearest wish first; later wishes are looser. */
   duesS: number[];
   /** Seconds that a single task of it still takes. */
   taskS: number;
+  /** Tasks without a result. */
+  tasks: number;
   /** Cpus, or accelerators, that all that is left of it would take at once. */
   wide: number;
   /** What is left to do, in cpu seconds. */
@@ -114,6 +118,8 @@
   let left = room;
   for (const e of entries.filter((e) => e.late).sort(bySince)) {
     if (left <= 0) break;
+    // Uncapped, one large late job took most of a small deployment from all who could still be in time.
+    if (e.wide > left) e.allowed = Math.max(1, Math.floor((left / e.wide) * e.tasks));
     left -= e.wide;
     out.push(e);
   }
--- a/src/coordination/renter.ts
+++ b/src/coordination/renter.ts
@@ -124,7 +124,7 @@
     this.o.cloud.tell({ kind: "remove", names: [m.name] });
   }
 
-  rent(plan: PlacementPlan, coming: MachineView[], freeing: () => MachineView[]): void {
+  rent(plan: PlacementPlan, coming: MachineView[]): void {
     if (plan.unplaced.length === 0) return;
     const now = this.o.clock.nowMs();
     if (now - this.lastWishMs < RENT_EVERY_MS) return;
@@ -138,7 +138,6 @@
       unplaced: plan.unplaced,
       types: this.lore.types,
       coming,
-      freeing: freeing(),
       refused: (type, zone, spot) => refused.size > 0 && refused.has(`${type} ${zone} ${spot}`),
       maxMachines: MAX_MACHINES,
       claim: (type, spot) => this.lore.claimOn(type, spot),
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -13,6 +13,8 @@
     gpus: false,
     aged: false,
     late: false,
+    allowed: Infinity,
+    tasks: 10,
     wide: work,
     duesS,
     taskS: 1,
@@ -76,6 +78,9 @@
   for (const c of cases) {
     const got = serveOrder(c.entries, () => 10);
     assert.equal(got.map((e) => e.id).join(" "), c.want, c.name);
+    // Of 3.5 in a room of 10, the older takes 2, and the old one's 10 tasks of 2 in all keep to the rest.
+    const old = got.find((e) => e.id === "old");
+    if (old) assert.equal(old.allowed, 7, "the last of the late ones keeps to what is left of the part");
   }
 });
 
