--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -9,6 +9,7 @@
   firstToken,
   holdUntilMs,
   leaseOverMs,
+  homeGrantMs,
   silentFromMs,
   TOKENS_PER_TERM,
 } from "../src/coordination/fences.js";
@@ -141,6 +142,88 @@
   assert.deepEqual(pick(facts(s)), { coveredMs: 10_300, blindMs: 10_900 }, "a new process");
 });
 
+test("a controller may keep its own zone for longer, and a lease there counts from that; an unheard one's from before", () => {
+  const ask: Serving = {
+    kind: "serving",
+    from: "n1",
+    term: 1,
+    life: 5,
+    seq: 1,
+    echoMs: 0,
+    retoldMs: 0,
+    askMs: 70,
+    machines: 3,
+    lagMs: 0,
+    heard: [],
+    reports: [],
+  };
+  const s = new Servers(
+    new Map([
+      ["n1", "b"],
+      ["n2", "b"],
+      ["n3", "a"],
+    ]),
+    9000,
+  );
+  s.heard(ask, 10_000);
+  assert.equal(s.grant(ask, { node: "n0", machines: 1, lagMs: 0 }, 10_000, 12_000, true, 9000)?.homeMs, 9000);
+  const until = (zone: string): number[] => [...s.facts(zone, 7000)].map((f) => Math.round(f.grantUntilMs));
+  const short = 10_000 + 2000 * 1.001 + 10;
+  const cases: [string, number[]][] = [
+    // n1's own zone: what it was given; n2, not heard in this term: what an earlier leader can have given it.
+    ["b", [10_000 + 9000 * 1.001 + 10, 7000 + 9000 * 1.001]],
+    ["a", [short, 7000 + 9000 * 1.001]],
+    ["", [10_000 + 9000 * 1.001 + 10, 7000 + 9000 * 1.001, 7000 + 9000 * 1.001]],
+    ["c", [short]],
+  ];
+  for (const [zone, want] of cases) assert.deepEqual(until(zone), want.map(Math.round), `zone "${zone}"`);
+  // Whatever it did under an earlier leader is over with its first frame of this term, and unknown up to then.
+  assert.equal([...s.facts("b", 7000)][0]!.blindMs, 10_000);
+  assert.equal([...s.facts("a", 7000)][0]!.blindMs, -Infinity);
+});
+
+test("what was lost is asked for until it is told again, also of who stood still when it was asked", () => {
+  const s = new Servers(new Map([["n1", "a"]]), 0);
+  const self = { node: "n0", machines: 1, lagMs: 0 };
+  const frame = (seq: number, retoldMs: number): Serving => ({
+    kind: "serving",
+    from: "n1",
+    term: 1,
+    life: 5,
+    seq,
+    echoMs: 0,
+    retoldMs,
+    askMs: 70,
+    machines: 3,
+    lagMs: 0,
+    heard: [],
+    reports: [],
+  });
+  const asked = (seq: number, retoldMs: number, nowMs: number): boolean | undefined => {
+    s.heard(frame(seq, retoldMs), nowMs);
+    return s.grant(frame(seq, retoldMs), self, nowMs, nowMs + 4000, true)?.resync;
+  };
+  assert.deepEqual(
+    [asked(1, 0, 1000), asked(3, 0, 2000), asked(4, 0, 3000), asked(5, 2500, 4000), asked(6, 2500, 5000)],
+    [false, true, true, false, false],
+  );
+});
+
+test("the time that a zone is given for leaves a cancellation its lease, and what it may be known late by", () => {
+  const cases: [number, number, number][] = [
+    [37, 12, 22_400],
+    [40.25, 15.25, 22_400],
+    [25, 8, 14_400],
+    [14, 12, 0],
+    [5, 8, 0],
+  ];
+  for (const [cancelS, leaseS, want] of cases) {
+    const ms = homeGrantMs(cancelS, leaseS);
+    assert.ok(ms >= want && ms <= want + 100, `${cancelS} s, ${leaseS} s: ${ms}`);
+    assert.ok(ms === 0 || ms / 1000 + leaseS + 2 < cancelS);
+  }
+});
+
 function pick(o: object): object {
   const { coveredMs, blindMs } = o as { coveredMs: number; blindMs: number };
   return { coveredMs, blindMs };
