--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -113,21 +113,23 @@
   for (const [name, servers, want] of cases) assert.equal(silentFromMs(1000, servers, lease), want, name);
 });
 
+/** What a controller asks for its first grant with. */
+const ask: Serving = {
+  kind: "serving",
+  from: "n1",
+  term: 1,
+  life: 5,
+  seq: 1,
+  echoMs: 0,
+  retoldMs: 0,
+  askMs: 70,
+  machines: 3,
+  lagMs: 0,
+  heard: [],
+  reports: [],
+};
+
 test("the leader's book of servers: gaps blind it, grants end no later than its own right to acknowledge", () => {
-  const ask: Serving = {
-    kind: "serving",
-    from: "n1",
-    term: 1,
-    life: 5,
-    seq: 1,
-    echoMs: 0,
-    retoldMs: 0,
-    askMs: 70,
-    machines: 3,
-    lagMs: 0,
-    heard: [],
-    reports: [],
-  };
   const self = { node: "n0", machines: 1, lagMs: 0 };
   const facts = (s: Servers): object => ({ ...[...s.facts("a", 0)][0] });
   const s = new Servers(new Map([["n1", "b"]]), 9000);
@@ -143,20 +145,6 @@
 });
 
 test("a controller may keep its own zone for longer, and a lease there counts from that; an unheard one's from before", () => {
-  const ask: Serving = {
-    kind: "serving",
-    from: "n1",
-    term: 1,
-    life: 5,
-    seq: 1,
-    echoMs: 0,
-    retoldMs: 0,
-    askMs: 70,
-    machines: 3,
-    lagMs: 0,
-    heard: [],
-    reports: [],
-  };
   const s = new Servers(
     new Map([
       ["n1", "b"],
@@ -185,20 +173,7 @@
 test("what was lost is asked for until it is told again, also of who stood still when it was asked", () => {
   const s = new Servers(new Map([["n1", "a"]]), 0);
   const self = { node: "n0", machines: 1, lagMs: 0 };
-  const frame = (seq: number, retoldMs: number): Serving => ({
-    kind: "serving",
-    from: "n1",
-    term: 1,
-    life: 5,
-    seq,
-    echoMs: 0,
-    retoldMs,
-    askMs: 70,
-    machines: 3,
-    lagMs: 0,
-    heard: [],
-    reports: [],
-  });
+  const frame = (seq: number, retoldMs: number): Serving => ({ ...ask, seq, retoldMs });
   const asked = (seq: number, retoldMs: number, nowMs: number): boolean | undefined => {
     s.heard(frame(seq, retoldMs), nowMs);
     return s.grant(frame(seq, retoldMs), self, nowMs, nowMs + 4000, true)?.resync;
