--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -254,7 +254,7 @@
     at: [[14, (w) => cutZone(w, w.leader ?? "n0", 26_000, (h) => h !== "state:1" && h !== "cloud:1")]],
   },
   {
-    name: "state service slow and down while all controllers are restarted one after the other, and all end",
+    name: "state service down while all controllers are restarted one after the other, and all end",
     grown: true,
     repeat: 0.1,
     at: [
@@ -350,10 +350,7 @@
 for (const seed of [1003, 1097, 2012, 2076]) {
   test(`a drawn day with controllers in two zones: seed ${seed}`, async () => {
     const w = new World(seed, { size: 5, zones: ["a", "a", "a", "b", "b"], capacity: 14 });
-    const inB = (h: string): boolean =>
-      h === "n3:80" ||
-      h === "n4:80" ||
-      [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+    const inB = w.inZone("b", "n3:80", "n4:80");
     const anyNode = (): string => w.names[Math.floor(w.random() * w.names.length)]!;
     const region = ["state:1", "cloud:1", "user:1"];
     const upTo = (ms: number): number => 2000 + w.random() * ms;
@@ -398,8 +395,7 @@
 
 /** Zone b's machines, and that controller with them, reach nothing else of what `from` names. */
 function cutZone(w: World, name: string, forMs: number, from: (host: string) => boolean = () => true): void {
-  const inside = (h: string): boolean =>
-    h === `${name}:80` || [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+  const inside = w.inZone("b", `${name}:80`);
   w.net.cut(inside, (h) => !inside(h) && from(h), forMs);
 }
 
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -21,8 +21,7 @@
   const far = [...w.workers.values()].filter((x) => x.tuft.patch === "b").map((x) => x.tuft);
   assert.ok(far.length >= 3, `machines in the zone: ${far.length}`);
   // Whatever boots there meanwhile is behind the cut, too.
-  const inZone = (h: string): boolean =>
-    [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+  const inZone = w.inZone("b");
   w.net.cut(inZone, (h) => !inZone(h), 38_000);
   await w.run(37);
   for (const t of far) assert.ok(w.cloud.tufts.has(t.ref), `${t.ref} was given back behind the cut`);
@@ -131,10 +130,7 @@
         .map((x) => `${x.task.spore} ${x.task.sprout}`);
     const before = inB();
     assert.ok(before.length >= 5, `${before.length} replicas in the zone`);
-    const within = (h: string): boolean =>
-      h === "n3:80" ||
-      h === "n4:80" ||
-      [...w.workers.values()].some((x) => x.tuft.patch === "b" && x.tuft.address === h);
+    const within = w.inZone("b", "n3:80", "n4:80");
     w.net.cut(within, (h) => !within(h), c.cutS * 1000);
     if (c.crashS !== undefined) w.clock.after(c.crashS * 1000, () => w.crash(w.leader ?? "n0", 2000));
     await w.run(2);
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -146,6 +146,13 @@
   onReport: (body: unknown) => void = () => undefined;
   /** Until then controllers have no links to each other: what they would send is lost. */
   noLinksUntilMs = 0;
+  /** Is that a machine of the zone, also one that boots later, or one of these hosts beside them? */
+  inZone(patch: string, ...hosts: string[]): (host: string) => boolean {
+    return (h) =>
+      hosts.includes(h) ||
+      [...this.workers.values()].some((x) => x.tuft.patch === patch && x.tuft.address === h);
+  }
+
   /** From here on nothing goes wrong any more. */
   calmFromMs = 0;
   private readonly unanswered = new Map<string, number>();
