--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -50,7 +50,8 @@
   /** Tasks from here on were never started. */
   private cursor = 0;
   doneCount = 0;
-  cancelled: boolean;
+  /** Null: it is not cancelled. */
+  cancelledAt: Date | null;
   /** Steady time of the submission, as near as we know. */
   readonly bornMs: number;
   /** Nothing of it is started before this, after failures. */
@@ -63,15 +64,19 @@
     readonly spec: JobSpec,
     readonly acceptedAt: Date,
     public headVersion: number,
-    cancelled: boolean,
+    cancelledAt: Date | null,
     bornMs: number,
   ) {
-    this.cancelled = cancelled;
+    this.cancelledAt = cancelledAt;
     this.bornMs = bornMs;
   }
 
   static fromHead(head: Head, version: number, bornMs: number): Job {
-    return new Job(head.spec, head.acceptedAt, version, head.cancelled, bornMs);
+    return new Job(head.spec, head.acceptedAt, version, head.cancelledAt, bornMs);
+  }
+
+  get cancelled(): boolean {
+    return this.cancelledAt !== null;
   }
 
   get id(): string {
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -32,19 +32,23 @@
   spec: JobSpec;
   /** Time of day of the acceptance. */
   acceptedAt: Date;
-  cancelled: boolean;
+  /** Time of day just before its cancellation was committed, so before anybody was told; null: it is not cancelled. */
+  cancelledAt: Date | null;
 }
 
 export function encodeHead(head: Head): unknown {
-  return { ...head.spec, at: head.acceptedAt.getTime(), x: head.cancelled };
+  const { spec, acceptedAt, cancelledAt } = head;
+  return { ...spec, at: acceptedAt.getTime(), x: cancelledAt !== null, xAt: cancelledAt?.getTime() };
 }
 
 export function decodeHead(value: unknown): Head | null {
   const o = asObject(value);
   const at = asAmount(o?.at);
   if (!o || at === null || asText(o.id) === null || asCount(o.tasks) === null) return null;
-  const { at: _, x, ...spec } = o;
-  return { spec: spec as unknown as JobSpec, acceptedAt: new Date(at), cancelled: x === true };
+  const { at: _, x, xAt, ...spec } = o;
+  // Versions before 0.4.0 kept no time: it was at the earliest when the job was accepted.
+  const cancelledAt = x === true ? new Date(asAmount(xAt) ?? at) : null;
+  return { spec: spec as unknown as JobSpec, acceptedAt: new Date(at), cancelledAt };
 }
 
 export interface Final {
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -25,6 +25,11 @@
   teams: Team[];
   valueBytes: number;
   feed: JobFeed;
+  /**
+   * Called before a user is told that a job is cancelled whose tasks may still be somewhere: the leader has to know of
+   * it (rule `ran_cancelled`). Of a job that is over nothing can be anywhere, so nobody need know.
+   */
+  onCancelTold: (id: string, cancelledAt: Date) => void;
 }
 
 /** Whether a job could ever run; null when it can. Pure. */
@@ -122,7 +127,7 @@
       return this.later("machine types are not known yet");
     }
     const never = neverRuns(spec, this.types, this.o.teams);
-    const head: Head = { spec, acceptedAt: this.o.clock.today(), cancelled: false };
+    const head: Head = { spec, acceptedAt: this.o.clock.today(), cancelledAt: null };
     const record = encodeHead(head);
     const tooBig = Buffer.byteLength(JSON.stringify(record)) > this.o.valueBytes;
     if (never !== null || tooBig) {
@@ -154,7 +159,14 @@
 
   private knownAnswer(id: string, known: { head: Head } | { final: Final }): Answer {
     if ("final" in known) return { status: 200, body: encodeAccepted(id, phaseOf(known.final)) };
-    return { status: 200, body: encodeAccepted(id, known.head.cancelled ? "cancelled" : this.livePhase(id)) };
+    return { status: 200, body: encodeAccepted(id, this.headPhase(known.head)) };
+  }
+
+  private headPhase(head: Head): JobPhase {
+    const { id } = head.spec;
+    if (head.cancelledAt === null) return this.livePhase(id);
+    this.o.onCancelTold(id, head.cancelledAt);
+    return "cancelled";
   }
 
   private livePhase(id: string): JobPhase {
@@ -199,7 +211,7 @@
       return { status: 200, body: encodeState(id, phaseOf(final), final.cancelled ? 0 : final.tasks, 0) };
     }
     const count = this.counts.get(id) ?? { done: 0, running: 0 };
-    const phase = known.head.cancelled ? "cancelled" : this.livePhase(id);
+    const phase = this.headPhase(known.head);
     return {
       status: 200,
       body: encodeState(id, phase, asCount(count.done) ?? 0, asCount(count.running) ?? 0),
@@ -214,15 +226,14 @@
       if (known === "failed") return this.later("the state service does not answer");
       if (known === "absent") return { status: 404, body: { error: "no such job" } };
       if ("final" in known) return { status: 200, body: encodeAccepted(id, phaseOf(known.final)) };
-      if (known.head.cancelled) return { status: 200, body: encodeAccepted(id, "cancelled") };
+      if (known.head.cancelledAt !== null) return this.knownAnswer(id, known);
+      const head: Head = { ...known.head, cancelledAt: this.o.clock.today() };
       const outcome = await this.o.state.commit(
         [{ key: keys.head(id), version: known.version }],
-        [{ put: keys.head(id), value: encodeHead({ ...known.head, cancelled: true }) }],
+        [{ put: keys.head(id), value: encodeHead(head) }],
         deadline,
       );
-      if (outcome.kind === "ok") {
-        return { status: 200, body: encodeAccepted(id, "cancelled") };
-      }
+      if (outcome.kind === "ok") return this.knownAnswer(id, { head });
       if (outcome.kind === "refused") return this.later("the state service does not take changes");
       // A conflict or no answer: look again.
     }
--- a/src/coordination/archive.ts
+++ b/src/coordination/archive.ts
@@ -40,7 +40,8 @@
 
   load(): void {
     const { term } = this.r.mandate;
-    const deadline = this.o.clock.nowMs() + 4000;
+    const sentMs = this.o.clock.nowMs();
+    const deadline = sentMs + 4000;
     const rest = async (): Promise<Item[] | null> => {
       const items: Item[] = [];
       for (const key of [keys.types, keys.moves]) {
@@ -58,11 +59,11 @@
       })),
       rest(),
     ]).then(([{ heads, chunks }, items]) =>
-      this.o.tell({ kind: "loaded", term, heads, chunks, rest: items }),
+      this.o.tell({ kind: "loaded", term, heads, chunks, rest: items, sentMs }),
     );
   }
 
-  loaded(heads: ListOutcome, chunks: ListOutcome, rest: Item[] | null): void {
+  loaded(heads: ListOutcome, chunks: ListOutcome, rest: Item[] | null, sentMs: number): void {
     if (heads.kind === "failed" || chunks.kind === "failed" || !rest) {
       this.o.clock.after(200, () => {
         if (!this.r.over) this.load();
@@ -80,6 +81,7 @@
     for (const item of heads.items) this.learnHead(item);
     for (const item of chunks.items) this.loadChunk(item);
     this.revision = heads.revision;
+    this.knownToMs = sentMs;
     this.r.loaded = true;
     log.info(
       `term ${this.r.mandate.term}: ${this.r.jobs.size} live jobs, ${this.r.machines.size} machines known`,
@@ -106,7 +108,7 @@
     if (job) {
       if (item.version < job.headVersion) return;
       job.headVersion = item.version;
-      if (head.cancelled && !job.cancelled) this.r.attempts.cancelJob(job);
+      if (head.cancelledAt !== null && !job.cancelled) this.r.attempts.cancelJob(job, head.cancelledAt);
       return;
     }
     const ageMs = Math.max(0, this.o.clock.today().getTime() - head.acceptedAt.getTime());
--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -52,8 +52,8 @@
     else this.stopAttempt(a, grace);
   }
 
-  cancelJob(job: Job): void {
-    job.cancelled = true;
+  cancelJob(job: Job, cancelledAt: Date): void {
+    job.cancelledAt = cancelledAt;
     this.r.jobsVersion++;
     for (const a of [...job.attempts]) this.stopAttempt(a, 0);
     if (job.over) this.r.archive.requestWrite(0);
--- a/src/coordination/conductor.ts
+++ b/src/coordination/conductor.ts
@@ -15,13 +15,21 @@
 import { log } from "../transport/log.js";
 import type { CloudDesk, CloudNews } from "./cloudDesk.js";
 import type { ElectionNews } from "./election.js";
+import type { AckLimits } from "./gate.js";
 import { Lore } from "./lore.js";
 import { Reign } from "./reign.js";
 
 export type ConductorMessage =
   | { kind: "election"; news: ElectionNews }
   | { kind: "serving"; serving: Serving }
-  | { kind: "loaded"; term: number; heads: ListOutcome; chunks: ListOutcome; rest: Item[] | null }
+  | {
+      kind: "loaded";
+      term: number;
+      heads: ListOutcome;
+      chunks: ListOutcome;
+      rest: Item[] | null;
+      sentMs: number;
+    }
   | { kind: "watched"; term: number; outcome: WatchOutcome; sentMs: number }
   | { kind: "reread"; term: number; key: string; item: Item | null; ok: boolean }
   | { kind: "committed"; term: number; transaction: Transaction; outcome: CommitOutcome }
@@ -42,8 +50,8 @@
   sendGrant: (peer: string, grant: Grant) => void;
   /** Who serves workers: the gate beside us spreads them, too. */
   onHomes: (homes: Grant["homes"]) => void;
-  /** Until then the gate beside us may keep its own zone's workers alive if we are cut off with them. */
-  onHome: (untilMs: number) => void;
+  /** What the gate beside us may acknowledge. */
+  onAckLimits: (limits: AckLimits) => void;
   /** Workers that report to this node. */
   served: () => number;
   lagMs: () => number;
@@ -110,7 +118,8 @@
         r.supervisor.errandBack(message.result);
         break;
       case "loaded":
-        r.archive.loaded(message.heads, message.chunks, message.rest);
+        r.archive.loaded(message.heads, message.chunks, message.rest, message.sentMs);
+        r.limitAcks(this.o.clock.nowMs());
         break;
       case "watched":
         r.archive.watched(message.outcome, message.sentMs);
--- a/src/coordination/fences.ts
+++ b/src/coordination/fences.ts
@@ -75,19 +75,29 @@
   return leaseOverMs(fromMs, leaseS);
 }
 
-/** What a cancellation may be known late by, when a controller is given its zone for a while. */
-export const KNOWN_LATE_MS = 2000;
-
 /**
- * How long a controller that is cut off together with its zone may go on acknowledging the zone's own workers without
- * hearing from the leader. A job may be cancelled in that time, its tasks' stops can't arrive, and they must be gone
- * within `cancelS` all the same (rule `ran_cancelled`): a lease after the last acknowledgement, then, at the latest.
+ * The right to acknowledge reports is bounded by knowledge of cancellations. Users may have been told right after
+ * `knownMs` (the moment up to which the leader knows all that they were told is cancelled) that a job is; no stop need
+ * reach its tasks, and they must be gone within `cancelS` all the same (rule `ran_cancelled`): a lease after the last
+ * acknowledgement, then, at the latest. So nobody acknowledges anything from the moment that this returns; a machine
+ * with a task of a job that is known to be cancelled, from the one counted from that job's cancellation.
  */
+export function ackLimitMs(knownMs: number, cancelS: number, leaseS: number): number {
+  return knownMs + (cancelS - leaseS * (1 + 2 * DRIFT)) * 1000 * (1 - 2 * DRIFT) - ACK_MARGIN_MS;
+}
+
+/** For what a report takes on its way, timers that fire late, and a worker that kills its tasks a moment after its lease. */
+const ACK_MARGIN_MS = 1000;
+
+/** The longest that a controller can ever be given its own zone for. */
 export function homeGrantMs(cancelS: number, leaseS: number): number {
-  const ms = Math.floor((cancelS - leaseS * (1 + 2 * DRIFT)) * 1000 * (1 - 2 * DRIFT) - KNOWN_LATE_MS - 500);
-  return ms < 3000 ? 0 : ms;
+  const ms = Math.floor(ackLimitMs(0, cancelS, leaseS));
+  return ms < MIN_HOME_MS ? 0 : ms;
 }
 
+/** A zone for a shorter time than this is no use: a cut is not even noticed in it. */
+export const MIN_HOME_MS = 3000;
+
 /** A leader's own hold, counted from when its renewal was sent; we count fast, the service may count slow. */
 export function holdUntilMs(renewalSentMs: number, ttlMs: number): number {
   return renewalSentMs + ttlMs * (1 - 2 * DRIFT) - 20;
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -7,17 +7,30 @@
 import { log } from "../transport/log.js";
 import type { ElectionNews, Mandate } from "./election.js";
 import { DRIFT, firstToken } from "./fences.js";
+import { ToldCancels } from "./toldCancels.js";
 
 type Message =
   | { kind: "election"; news: ElectionNews }
   | { kind: "report"; report: Report; reply: (answer: Answer) => void }
   | { kind: "grant"; grant: Grant }
   | { kind: "homes"; homes: Grant["homes"] }
-  | { kind: "home"; untilMs: number }
+  | { kind: "ack limits"; limits: AckLimits }
+  | { kind: "cancel told"; id: string; at: Date }
   | { kind: "alone"; from: string; term: number }
   | { kind: "flush" }
   | { kind: "tick" };
 
+/** What the leader beside us lets us acknowledge; followers hear it in their grants. */
+export interface AckLimits {
+  term: number;
+  untilMs: number;
+  /** Our own zone's workers, if we are cut off with them. */
+  homeUntilMs: number;
+  barred: string[];
+  /** The cancellations told here up to that one are known to it. */
+  toldSeq: number;
+}
+
 export interface GateOptions {
   node: string;
   zone: string;
@@ -27,6 +40,8 @@
   life: number;
   clock: Clock;
   reportS: number;
+  /** Cancellations told longer ago than this concern nobody any more. */
+  keepToldMs: number;
   /** To the leader, whoever that is; true when it went out. */
   toLeader: (leader: string, serving: Serving) => void;
   toNeighbour: (node: string, message: PeerMessage) => void;
@@ -108,12 +123,17 @@
   private nextTrickleMs = -Infinity;
   /** The other controllers of our zone. */
   private readonly neighbours: string[];
+  /** As leader: what the conductor beside us allows in this term. */
+  private limitMs = -Infinity;
+  private barred = new Set<string>();
+  private readonly told: ToldCancels;
   private flushSet = false;
   private timer: Timer | null = null;
   private stopped = false;
 
   constructor(private readonly o: GateOptions) {
     super();
+    this.told = new ToldCancels(o.keepToldMs);
     this.neighbours = [...o.zones]
       .filter(([node, zone]) => node !== o.node && zone === o.zone)
       .map(([n]) => n);
@@ -153,8 +173,12 @@
         // Beside the leader there is no grant to bring them.
         if (this.mandate) this.homes = message.homes;
         break;
-      case "home":
-        if (this.mandate) this.homeUntilMs = Math.max(this.homeUntilMs, message.untilMs);
+      case "ack limits":
+        this.limited(message.limits);
+        break;
+      case "cancel told":
+        // At once: the leader may have starts of it on their way, or be unable to read it.
+        if (this.told.add(message.id, message.at, this.o.clock.nowMs())) this.flush();
         break;
       case "alone":
         if (message.term === this.term && this.neighbours.includes(message.from))
@@ -192,6 +216,7 @@
     this.retoldMs = 0;
     this.seq = 0;
     this.homes = [];
+    this.told.begin();
     this.heard.clear();
     this.tellAll();
     this.flush();
@@ -203,6 +228,15 @@
     this.homeUntilMs = -Infinity;
     this.rightUntilMs = -Infinity;
     this.neighbourAloneMs = -Infinity;
+    this.limitMs = -Infinity;
+  }
+
+  private limited(limits: AckLimits): void {
+    if (this.mandate?.term !== limits.term) return;
+    this.limitMs = limits.untilMs;
+    this.homeUntilMs = Math.max(this.homeUntilMs, limits.homeUntilMs);
+    this.barred = new Set(limits.barred);
+    this.told.taken(limits.toldSeq);
   }
 
   private tellAll(): void {
@@ -213,7 +247,7 @@
   }
 
   private untilMs(): number {
-    return this.mandate ? this.mandate.ackUntilMs : this.grantUntilMs;
+    return this.mandate ? Math.min(this.mandate.ackUntilMs, this.limitMs) : this.grantUntilMs;
   }
 
   private granted(g: Grant): void {
@@ -230,6 +264,8 @@
     this.rightUntilMs = Math.max(this.rightUntilMs, this.grantUntilMs);
     if (g.homeMs > 0) this.homeUntilMs = Math.max(this.homeUntilMs, g.askMs + g.homeMs * (1 - 2 * DRIFT));
     this.echoMs = Math.max(this.echoMs, g.stampMs);
+    this.told.taken(g.toldSeq);
+    this.barred = new Set(g.barred);
     this.homes = g.homes;
   }
 
@@ -258,6 +294,11 @@
       reply({ status: 503, body: {} });
       return;
     }
+    if (this.barred.has(report.machine)) {
+      // A cancelled task there has not shown that it is gone: its lease has to end in time (rule `ran_cancelled`).
+      reply({ status: 503, body: {} });
+      return;
+    }
     this.noteReturn(report.machine, now);
     const other = home ? null : this.lighter(report, known !== undefined);
     if (other !== null) {
@@ -366,6 +407,7 @@
     this.changed.clear();
     const heard = [...this.heard.values()];
     this.heard.clear();
+    const told = this.told.part(now);
     reports.forEach((part, i) => {
       const last = i === reports.length - 1;
       const serving: Serving = {
@@ -382,6 +424,7 @@
         lagMs: Math.round(this.o.lagMs()),
         heard: last ? heard : [],
         reports: part,
+        ...(last ? told : { told: [], toldSeq: 0, toldAll: false }),
       };
       if (this.mandate) this.o.toConductor(serving);
       else if (this.leader !== null) this.o.toLeader(this.leader, serving);
@@ -397,6 +440,7 @@
       if (now - k.heardMs > FORGET_MS) this.known.delete(name);
       else if (now - k.heardMs < 2500 * this.o.reportS) this.machines++;
     }
+    this.told.forget(now);
     for (const [machine, s] of this.sent) if (now - s.atMs > 5 * ANSWER_MS) this.sent.delete(machine);
     if (!this.mandate) this.flush();
     if (now >= this.untilMs() && now < this.homeUntilMs) {
--- a/src/coordination/reign.ts
+++ b/src/coordination/reign.ts
@@ -1,12 +1,14 @@
 import type { Job } from "../bookkeeping/jobs.js";
 import { Machine } from "../bookkeeping/machines.js";
 import { Usage } from "../bookkeeping/usage.js";
+import type { Serving } from "../protocol/peers.js";
 import { log } from "../transport/log.js";
 import { Archive, LAZY_WRITE_MS } from "./archive.js";
 import { Attempts } from "./attempts.js";
 import type { ConductorOptions } from "./conductor.js";
 import type { Mandate } from "./election.js";
-import { firstAttempt, firstToken, homeGrantMs, KNOWN_LATE_MS } from "./fences.js";
+import { AckBound } from "./ackBound.js";
+import { firstAttempt, firstToken, homeGrantMs, MIN_HOME_MS } from "./fences.js";
 import { FleetUse } from "./fleetUse.js";
 import type { Lore } from "./lore.js";
 import { Rounds } from "./magnet/rounds.js";
@@ -34,7 +36,9 @@
   readonly usage: Usage;
   readonly servers: Servers;
   nextAttempt: number;
-  private readonly homeMs: number;
+  readonly ackBound: AckBound;
+  /** Cancellations that were told at this node are known up to that one. */
+  private toldHereSeq = 0;
   private lastListMs = -Infinity;
   private lastTypesMs: number;
   private lastTallyMs = -Infinity;
@@ -62,8 +66,9 @@
     this.nextAttempt = firstAttempt(mandate.term);
     this.lastTypesMs = lore.typesKnown ? this.startedMs : -Infinity;
     const { platform } = o;
-    this.homeMs = homeGrantMs(platform.cancelS, platform.leaseS);
-    this.servers = new Servers(new Map(platform.peers.map((p) => [p.name, p.zone])), this.homeMs);
+    this.ackBound = new AckBound(platform);
+    const homeMs = homeGrantMs(platform.cancelS, platform.leaseS);
+    this.servers = new Servers(new Map(platform.peers.map((p) => [p.name, p.zone])), homeMs);
     this.attempts = new Attempts(this);
     this.archive = new Archive(this, o, lore);
     this.supervisor = new Supervisor(this, o, lore);
@@ -76,18 +81,41 @@
     return this.o.clock.nowMs() < this.mandate.fullUntilMs;
   }
 
-  /**
-   * How long a controller may keep that zone's workers alive if it is cut off with them from now on; 0: not at all. No
-   * cancellation may be unknown here, or known and not yet carried out there.
-   */
-  homeFor(zone: string): number {
-    if (this.homeMs === 0 || !this.loaded || !this.full()) return 0;
-    if (this.o.clock.nowMs() - this.archive.knownToMs > KNOWN_LATE_MS) return 0;
-    for (const job of this.jobs.values()) {
-      if (!job.cancelled) continue;
-      for (const a of job.attempts) if (a.machine.zone === zone || a.machine.zone === "") return 0;
+  /** Until then reports may be acknowledged, as far as we lead and know of cancellations. */
+  ackUntilMs(): number {
+    return Math.min(this.mandate.ackUntilMs, this.ackBound.untilMs);
+  }
+
+  /** How long a controller may keep that zone's workers alive if it is cut off with them from now on; 0: not at all. */
+  homeFor(zone: string, now: number): number {
+    if (!this.loaded || !this.full()) return 0;
+    const ms = Math.floor(this.ackBound.zoneUntilMs(zone) - now);
+    return ms < MIN_HOME_MS ? 0 : ms;
+  }
+
+  /** What other controllers have told users is cancelled, perhaps before we can read it. */
+  learnCancels(s: Serving, now: number): void {
+    if (s.from === this.o.platform.node) this.toldHereSeq = Math.max(this.toldHereSeq, s.toldSeq);
+    else this.servers.toldOf(s, now);
+    for (const { id, at } of s.told) {
+      const job = this.jobs.get(id);
+      if (job && !job.cancelled) this.attempts.cancelJob(job, at);
     }
-    return this.homeMs;
+  }
+
+  /** Works out anew what may be acknowledged, and tells the gate beside us. */
+  limitAcks(now: number): void {
+    if (!this.loaded) return;
+    const knownMs = this.servers.cancelsKnownToMs(this.archive.knownToMs);
+    this.ackBound.update(knownMs, this.jobs.values(), now, this.o.clock.today());
+    const homeMs = this.homeFor(this.o.platform.zone, now);
+    this.o.onAckLimits({
+      term: this.mandate.term,
+      untilMs: this.ackBound.untilMs,
+      homeUntilMs: homeMs > 0 ? now + homeMs : -Infinity,
+      barred: this.ackBound.barred,
+      toldSeq: this.toldHereSeq,
+    });
   }
 
   machine(name: string, zone: string): Machine {
@@ -125,9 +153,8 @@
       this.tally(now);
       this.tellUse(now);
     }
+    this.limitAcks(now);
     if (!this.full()) return;
-    const homeMs = this.homeFor(platform.zone);
-    if (homeMs > 0) this.o.onHome(now + homeMs);
     this.handOver(now);
     this.supervisor.superviseAll(now);
     if (now - this.rounds.lastRoundMs > operator.elapseS * 1000) this.rounds.round(now);
--- a/src/coordination/servers.ts
+++ b/src/coordination/servers.ts
@@ -18,6 +18,11 @@
   grantedMs: number;
   /** Since when something of it is missing here; Infinity: nothing. */
   missingMs: number;
+  /** When this process of it was heard first. */
+  lifeSinceMs: number;
+  /** All cancellations that this process told users of before then are known here. */
+  toldMs: number;
+  toldSeq: number;
 }
 
 /**
@@ -53,6 +58,9 @@
         heardMs: nowMs,
         grantedMs: -Infinity,
         missingMs: Infinity,
+        lifeSinceMs: nowMs,
+        toldMs: -Infinity,
+        toldSeq: 0,
       };
       this.books.set(s.from, book);
     }
@@ -65,6 +73,11 @@
     // Asked until it is answered: asked once, and the question lost or too late for who stood still, a machine whose last
     // word had been lost was heard from then on as one with nothing new to say, and its job was never done.
     else if (s.retoldMs >= book.missingMs) book.missingMs = Infinity;
+    if (book.life !== s.life) {
+      book.lifeSinceMs = nowMs;
+      book.toldMs = -Infinity;
+      book.toldSeq = 0;
+    }
     book.life = s.life;
     book.seq = s.seq;
     book.coveredMs = Math.max(book.coveredMs, Math.min(s.echoMs, nowMs));
@@ -73,6 +86,29 @@
     book.heardMs = nowMs;
   }
 
+  /** Its cancellations were taken over. */
+  toldOf(s: Serving, nowMs: number): void {
+    const book = this.books.get(s.from);
+    if (!book || book.life !== s.life) return;
+    book.toldSeq = Math.max(book.toldSeq, s.toldSeq);
+    // Whatever it tells after our stamp came in is told after that stamp.
+    if (s.toldAll) book.toldMs = Math.max(book.toldMs, Math.min(s.echoMs, nowMs));
+  }
+
+  /**
+   * Up to when all cancellations that users were told of are known here: read from the state service, or named by the
+   * controllers themselves. What a process had told that is over by now can only be read, after we first heard the next.
+   */
+  cancelsKnownToMs(readMs: number): number {
+    let knownMs = Infinity;
+    for (const node of this.zones.keys()) {
+      const book = this.books.get(node);
+      const toldMs = book && readMs >= book.lifeSinceMs ? book.toldMs : -Infinity;
+      knownMs = Math.min(knownMs, Math.max(readMs, toldMs));
+    }
+    return knownMs;
+  }
+
   /** A new grant in answer to that frame, unless the last one is young. Never longer than we may act ourselves. */
   grant(
     s: Serving,
@@ -81,6 +117,7 @@
     ackUntilMs: number,
     served: boolean,
     homeMs = 0,
+    barred: string[] = [],
   ): Grant | null {
     const book = this.books.get(s.from);
     const forMs = Math.floor(Math.min(GRANT_MS, ackUntilMs - nowMs));
@@ -101,6 +138,8 @@
       stampMs: Math.floor(nowMs),
       served,
       resync,
+      toldSeq: book.toldSeq,
+      barred,
       homes: this.homes(self, nowMs),
     };
   }
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -46,6 +46,8 @@
     const now = this.o.clock.nowMs();
     const local = s.from === this.o.platform.node;
     if (!local) r.servers.heard(s, now);
+    // Before the records are read we don't know which of them mean anything here; they are told again until then.
+    if (r.loaded) r.learnCancels(s, now);
     for (const h of s.heard) {
       const m = r.machines.get(h.machine);
       if (m && m.session === h.session) this.acknowledged(m, h.session, h.tick, s.from, now, now);
@@ -55,14 +57,14 @@
     if (local) return;
     const self = { node: this.o.platform.node, machines: this.o.served(), lagMs: Math.round(this.o.lagMs()) };
     const { lastServedSentMs, lastRefusedMs } = this.o.state;
-    const homeMs = r.homeFor(this.zones.get(s.from) ?? "");
     const grant = r.servers.grant(
       s,
       self,
       now,
-      r.mandate.ackUntilMs,
+      r.ackUntilMs(),
       lastServedSentMs > lastRefusedMs,
-      homeMs,
+      r.homeFor(this.zones.get(s.from) ?? "", now),
+      r.ackBound.barred,
     );
     if (!grant) return;
     this.o.sendGrant(s.from, grant);
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -12,9 +12,15 @@
 } from "./model.js";
 
 /** Controllers of another version are refused: their frames may mean something else. */
-export const PEER_VERSION = 3;
+export const PEER_VERSION = 4;
 const MAGIC = "lichenturn";
 
+/** A cancellation that a user was told of, and the time of day just before it was committed. */
+export interface ToldCancel {
+  id: string;
+  at: Date;
+}
+
 /** What a controller tells the leader of the workers that it serves; at the same time its request for a new grant. */
 export interface Serving {
   kind: "serving";
@@ -36,6 +42,12 @@
   heard: Heard[];
   /** Acknowledged reports that say something new. */
   reports: SeenReport[];
+  /** Cancellations that this process has told users of, less those that the leader has taken over. */
+  told: ToldCancel[];
+  /** Number of the last of them, counted in each process. */
+  toldSeq: number;
+  /** With it the leader knows of all that this process has told up to `echoMs`. */
+  toldAll: boolean;
 }
 
 /** The leader lets a controller acknowledge reports for a while. */
@@ -53,6 +65,10 @@
   served: boolean;
   /** Something went unheard: tell everything again. */
   resync: boolean;
+  /** The cancellations told by this process up to that one are known here. */
+  toldSeq: number;
+  /** Machines whose reports may not be acknowledged: a cancelled task there has not shown that it is gone. */
+  barred: string[];
   homes: { node: string; machines: number; lagMs: number }[];
 }
 
@@ -199,13 +215,19 @@
       for (const h of message.heard) w.text(h.machine).big(h.session).big(h.tick);
       w.number(message.reports.length);
       for (const x of message.reports) writeReport(w.number(x.ageMs), x.report);
+      w.number(message.told.length);
+      for (const t of message.told) w.text(t.id).number(t.at.getTime());
+      w.number(message.toldSeq).byte(message.toldAll ? 1 : 0);
       break;
     case "grant":
       w.number(message.term).number(message.life).number(message.askMs);
       w.number(message.forMs).number(message.homeMs).number(message.stampMs);
       w.byte(message.served ? 1 : 0)
         .byte(message.resync ? 1 : 0)
-        .number(message.homes.length);
+        .number(message.toldSeq)
+        .number(message.barred.length);
+      for (const machine of message.barred) w.text(machine);
+      w.number(message.homes.length);
       for (const h of message.homes) w.text(h.node).number(h.machines).number(h.lagMs);
       break;
     case "errands":
@@ -277,6 +299,9 @@
         lagMs: r.number(),
         heard: r.list(() => ({ machine: r.text(), session: r.big(), tick: r.big() })),
         reports: r.list(() => ({ ageMs: r.number(), report: readReport(r) })),
+        told: r.list(() => ({ id: r.text(), at: new Date(r.number()) })),
+        toldSeq: r.number(),
+        toldAll: r.flag(),
       };
     case "grant":
       return {
@@ -290,6 +315,8 @@
         stampMs: r.number(),
         served: r.flag(),
         resync: r.flag(),
+        toldSeq: r.number(),
+        barred: r.list(() => r.text()),
         homes: r.list(() => ({ node: r.text(), machines: r.number(), lagMs: r.number() })),
       };
     case "errands":
--- a/src/service.ts
+++ b/src/service.ts
@@ -92,6 +92,7 @@
       clock,
       teams: platform.teams,
       valueBytes: platform.stateValueKb * 1024,
+      onCancelTold: (id, at) => this.gate.tell({ kind: "cancel told", id, at }),
     });
     this.cloud = new CloudDesk(out.cloud, clock, platform.cloud, platform.cloudRps, (news) =>
       this.conductor.tell({ kind: "cloud", news }),
@@ -114,7 +115,7 @@
       errand: (term, via, errand) => this.dispatch.errand(term, via, errand),
       sendGrant: send,
       onHomes: (homes) => this.gate.tell({ kind: "homes", homes }),
-      onHome: (untilMs) => this.gate.tell({ kind: "home", untilMs }),
+      onAckLimits: (limits) => this.gate.tell({ kind: "ack limits", limits }),
       served: () => this.gate.served,
       lagMs,
       onDeposed: (term) => this.elector.tell({ kind: "deposed", term }),
@@ -138,6 +139,7 @@
       life: Math.floor(out.random() * 2 ** 47),
       clock,
       reportS: platform.reportS,
+      keepToldMs: (platform.cancelS + platform.leaseS + 10) * 1000,
       toLeader: send,
       toNeighbour: send,
       toConductor: (serving) => this.conductor.tell({ kind: "serving", serving }),
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -24,6 +24,8 @@
   repeatWithinS?: number;
   /** Played with 5 controllers as well. */
   grown?: boolean;
+  /** So many jobs are submitted early that run until they are cancelled. */
+  long?: number;
   at: [number, Trouble][];
 }[] = [
   { name: "quiet", at: [] },
@@ -70,6 +72,20 @@
       [19, crashLeader(2000)],
     ],
   },
+  {
+    name: "meeting: cancellations confirmed while the state refuses the leader alone, then it is out for all, twice",
+    grown: true,
+    repeat: 0.05,
+    long: 8,
+    at: [
+      [16, (w) => w.state.refuse(node(w), 20_000)],
+      [16.2, (w) => cancelRunning(w, 6)],
+      [17, (w) => w.state.outage(34_000)],
+      [56, (w) => w.state.refuse(node(w), 14_000)],
+      [56.1, (w) => cancelRunning(w, 6)],
+      [56.9, (w) => w.state.outage(34_000)],
+    ],
+  },
   { name: "leader refused by the state service alone", at: [[15, (w) => w.state.refuse(node(w), 15_000)]] },
   {
     name: "leader cut from the state service, packets held",
@@ -289,6 +305,7 @@
   await w.run(3);
   for (const [atS, trouble] of day.at) w.clock.after(atS * 1000, () => trouble(w));
   w.calmFromMs = w.clock.nowMs() + 60_000;
+  for (let i = 0; i < (day.long ?? 0); i++) longJob(w, i);
   await w.mixedWork(40);
   await w.run(110);
   assert.deepEqual(w.broken, []);
@@ -403,6 +420,30 @@
   cutOff(w, node(w), from, forMs);
 }
 
+/** One that goes on far beyond the day, unless it is cancelled. */
+function longJob(w: World, i: number): void {
+  const crew = i % 2 ? "one" : "two";
+  w.submit(
+    {
+      ref: `job-9${String(i).padStart(5, "0")}`,
+      crew,
+      form: "standing",
+      rank: "prod",
+      cores: 1,
+      windfall: i % 3 > 0,
+    },
+    null,
+  );
+}
+
+/** Their users call off so many of the long jobs that run, all within a fifth of a second. */
+function cancelRunning(w: World, count: number): void {
+  const running = [...w.jobs.values()].filter(
+    (j) => j.accepted && !j.cancelAsked && j.runS === null && w.live(j.spec.ref).length > 0,
+  );
+  for (const job of running.slice(0, count)) w.clock.after(w.random() * 200, () => w.cancel(job));
+}
+
 function anyWorker(w: World): SimWorker | undefined {
   const all = [...w.workers.values()];
   return all[Math.floor(w.random() * all.length)];
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { isMajority, mayVouch, readLead } from "../src/coordination/election.js";
+import { Job, type Attempt } from "../src/bookkeeping/jobs.js";
+import { Machine } from "../src/bookkeeping/machines.js";
+import { AckBound } from "../src/coordination/ackBound.js";
+import { ToldCancels } from "../src/coordination/toldCancels.js";
+import type { JobSpec } from "../src/protocol/model.js";
 import type { Serving } from "../src/protocol/peers.js";
 import { whereTo } from "../src/coordination/gate.js";
 import { Servers } from "../src/coordination/servers.js";
@@ -8,6 +13,8 @@
   absenceProves,
   firstToken,
   holdUntilMs,
+  ackLimitMs,
+  DRIFT,
   leaseOverMs,
   homeGrantMs,
   silentFromMs,
@@ -127,6 +134,9 @@
   lagMs: 0,
   heard: [],
   reports: [],
+  told: [],
+  toldSeq: 0,
+  toldAll: true,
 };
 
 test("the leader's book of servers: gaps blind it, grants end no later than its own right to acknowledge", () => {
@@ -184,18 +194,115 @@
   );
 });
 
-test("the time that a zone is given for leaves a cancellation its lease, and what it may be known late by", () => {
+test("the right to acknowledge leaves a cancellation that we may not know of a lease; a zone is given for no longer", () => {
   const cases: [number, number, number][] = [
-    [37, 12, 22_400],
-    [40.25, 15.25, 22_400],
-    [25, 8, 14_400],
-    [14, 12, 0],
-    [5, 8, 0],
+    [37, 12, 23_900],
+    [40.25, 15.25, 23_900],
+    [25, 8, 15_900],
+    [14, 12, 900],
+    [5, 8, -4100],
   ];
   for (const [cancelS, leaseS, want] of cases) {
-    const ms = homeGrantMs(cancelS, leaseS);
+    const ms = ackLimitMs(70_000, cancelS, leaseS) - 70_000;
     assert.ok(ms >= want && ms <= want + 100, `${cancelS} s, ${leaseS} s: ${ms}`);
-    assert.ok(ms === 0 || ms / 1000 + leaseS + 2 < cancelS);
+    // The worker's clock and ours may both be slow, and half a second is left for what is late.
+    assert.ok((ms * (1 + DRIFT)) / 1000 + leaseS * (1 + DRIFT) + 0.5 < cancelS * (1 - DRIFT));
+    assert.equal(homeGrantMs(cancelS, leaseS), want < 3000 ? 0 : Math.floor(ackLimitMs(0, cancelS, leaseS)));
+  }
+});
+
+test("what users were told is cancelled: read, or named by who told it; a process that is over can only be read after", () => {
+  const s = new Servers(
+    new Map([
+      ["n1", "a"],
+      ["n2", "a"],
+    ]),
+    0,
+  );
+  const frame = (from: string, life: number, echoMs: number, toldAll = true): Serving => ({
+    ...ask,
+    from,
+    life,
+    echoMs,
+    toldAll,
+  });
+  const steps: [string, Serving | null, number, number, number][] = [
+    // name, frame that comes in at this moment, up to when we have read, known up to
+    ["nobody heard: what we read", null, 10_000, 9900, 9900],
+    ["one heard", frame("n1", 5, 9950), 10_100, 10_100, 10_100],
+    ["both heard, and read nothing since", frame("n2", 6, 10_400), 10_500, 10_500, 10_500],
+    ["both have named all that they told", frame("n1", 5, 11_000), 11_100, 10_500, 10_500],
+    ["the earliest counts", frame("n2", 6, 10_900), 11_200, 10_500, 10_900],
+    ["a list that is not whole adds nothing", frame("n2", 6, 11_100, false), 11_300, 10_500, 10_900],
+    ["an echo from our future adds no more than now", frame("n2", 6, 99_000), 11_400, 10_500, 11_000],
+    ["a new process can't speak for the one before", frame("n1", 7, 11_300), 11_500, 10_500, 10_500],
+    ["so the other's list counts, too", frame("n2", 6, 11_600), 11_700, 11_500, 11_500],
+    [
+      "once we have read after we first heard it, it speaks for itself",
+      frame("n1", 7, 11_550),
+      11_900,
+      11_500,
+      11_550,
+    ],
+  ];
+  for (const [name, f, nowMs, readMs, want] of steps) {
+    if (f) {
+      s.heard(f, nowMs);
+      s.toldOf(f, nowMs);
+    }
+    assert.equal(s.cancelsKnownToMs(readMs), want, name);
+  }
+});
+
+test("cancellations that were told are named until the leader has them, to each leader anew, and not without end", () => {
+  const t = new ToldCancels(60_000);
+  const at = new Date(5);
+  assert.deepEqual(
+    [t.add("job-1", at, 0), t.add("job-2", at, 10), t.add("job-1", at, 20)],
+    [true, true, false],
+  );
+  const names = (nowMs: number): string[] => t.part(nowMs).told.map((x) => x.id);
+  assert.deepEqual([names(30), t.part(30).toldSeq, t.part(30).toldAll], [["job-1", "job-2"], 2, true]);
+  t.taken(1);
+  assert.deepEqual([names(40), t.part(40).toldSeq], [["job-2"], 2]);
+  t.taken(2);
+  assert.deepEqual([names(50), t.part(50).toldSeq], [[], 2]);
+  t.begin();
+  assert.deepEqual(names(60), ["job-1", "job-2"], "the next leader");
+  t.forget(60_005);
+  assert.deepEqual(names(60_005), ["job-2"], "whoever has not heard of it by then has let its leases end");
+  for (let i = 10; i < 5000; i++) t.add(`job-${i}`, at, 61_000);
+  assert.equal(t.part(61_000).toldAll, false, "more than a frame holds");
+  t.taken(t.part(61_000).toldSeq + 10_000);
+  assert.deepEqual([t.part(61_000).told, t.part(61_000).toldAll], [[], false], "some were dropped unsaid");
+  t.forget(200_000);
+  assert.equal(t.part(200_000).toldAll, true);
+});
+
+test("a machine with a cancelled task that stays is left to its lease in time, others go on; a zone counts it", () => {
+  const bound = new AckBound({ cancelS: 37, leaseS: 12, clockErrorMs: 25 });
+  assert.equal(bound.untilMs, -Infinity, "nothing read yet, nothing acknowledged");
+  const machine = (name: string, zone: string): Machine => new Machine(name, null, zone, false, 1, 0);
+  const [m1, m2] = [machine("m1", "a"), machine("m2", "b")];
+  const job = (cancelledAt: Date | null, ...on: Machine[]): Job => {
+    const j = new Job({ id: "job-1", tasks: 2 } as JobSpec, new Date(0), 1, cancelledAt, 0);
+    on.forEach((x) => j.attempts.add({ machine: x } as Attempt));
+    return j;
+  };
+  const today = new Date(1_000_000_000);
+  const ago = (s: number): Date => new Date(today.getTime() - s * 1000);
+  const cases: [string, Job[], string[], [number, number]][] = [
+    ["nothing is cancelled", [job(null, m1, m2)], [], [123_960, 123_960]],
+    ["just now", [job(ago(0), m1)], [], [123_910, 123_960]],
+    ["ten seconds ago", [job(ago(10), m1), job(ago(1), m1)], [], [113_910, 123_960]],
+    ["a grant could outlast it", [job(ago(21.5), m1, m2)], ["m1", "m2"], [123_960, 123_960]],
+    ["long ago", [job(ago(100), m2), job(ago(3), m1)], ["m2"], [120_910, 123_960]],
+    ["its tasks are gone", [job(ago(100))], [], [123_960, 123_960]],
+  ];
+  for (const [name, jobs, barred, zones] of cases) {
+    bound.update(100_000, jobs, 100_000, today);
+    assert.deepEqual(bound.barred, barred, name);
+    ["a", "b"].forEach((z, i) => assert.ok(Math.abs(bound.zoneUntilMs(z) - zones[i]!) < 10, `${name}: ${z}`));
   }
 });
 
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -169,6 +169,9 @@
       lagMs: 12,
       heard: [{ machine: "host-1", session: 1, tick: 9 }],
       reports: [{ ageMs: 7, report: seen }],
+      told: [{ id: "job-7", at: new Date(1_700_000_000_123) }],
+      toldSeq: 4,
+      toldAll: true,
     },
     {
       kind: "grant",
@@ -181,6 +184,8 @@
       stampMs: 90_400,
       served: true,
       resync: false,
+      toldSeq: 4,
+      barred: ["host-3"],
       homes: [{ node: "n2", machines: 70, lagMs: 12 }],
     },
     {
@@ -243,6 +248,14 @@
   assert.ok(JSON.stringify(value).length < 8 * 1024);
   assert.deepEqual(decodeChunk(JSON.parse(JSON.stringify(value))), { done, attempts });
   const { spec } = decodeSubmission(good) as { spec: Parameters<typeof encodeSubmission>[0] };
-  const head = { spec, acceptedAt: new Date(1_700_000_000_000), cancelled: true };
+  const head = { spec, acceptedAt: new Date(1_700_000_000_000), cancelledAt: new Date(1_700_000_000_500) };
   assert.deepEqual(decodeHead(JSON.parse(JSON.stringify(encodeHead(head)))), head);
+  const live = { ...head, cancelledAt: null };
+  assert.deepEqual(decodeHead(JSON.parse(JSON.stringify(encodeHead(live)))), live);
+  const older = { ...(encodeHead(live) as object), x: true };
+  assert.deepEqual(
+    decodeHead(older),
+    { ...head, cancelledAt: head.acceptedAt },
+    "without a time: the earliest",
+  );
 });
