Guest teams are served: a team's limit of 0 means none; jobs with a mistake and late boots cost little

A job that failed on four machines and ended nowhere blames no machine and starts two tasks at a time. A boot past 1.7 times its type's time is counted on no more, so another is rented; if it comes, it is used. Tests of all three.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -57,6 +57,8 @@
   /** Nothing of it is started before this, after failures. */
   notBeforeMs = 0;
   errors = 0;
+  /** Machines on which it failed, ever. */
+  readonly failedOn = new Set<string>();
   /** Machines on which it failed, and until when they are avoided. */
   readonly avoid = new Map<string, number>();
 
--- /dev/null
+++ b/src/coordination/faults.ts
@@ -0,0 +1,32 @@
+import type { Job } from "../bookkeeping/jobs.js";
+import type { Machine } from "../bookkeeping/machines.js";
+
+/** A job that has failed on more machines than this and succeeded on none was submitted with a mistake. */
+const MISTAKE_MACHINES = 3;
+
+/** Does the job fail wherever it starts? Then no machine is to blame, and it gets little room. Pure. */
+export function looksMistaken(job: Job): boolean {
+  return (
+    job.failedOn.size > MISTAKE_MACHINES &&
+    job.doneCount === 0 &&
+    ![...job.attempts].some((a) => a.phase === "running" && !job.failedOn.has(a.machine.name))
+  );
+}
+
+/** Failures of jobs that run well elsewhere count double, those of jobs that fail everywhere not at all. Pure. */
+export function looksFaulty(m: Machine, jobs: Map<string, Job>): boolean {
+  let score = 0;
+  let proven = 0;
+  let counted = 0;
+  for (const [id, n] of m.failures) {
+    const job = jobs.get(id);
+    if (job && looksMistaken(job)) continue;
+    const well =
+      job !== undefined &&
+      (job.doneCount > 0 || [...job.attempts].some((a) => a.machine !== m && a.phase === "running"));
+    score += well ? 2 * n : n;
+    if (well) proven++;
+    counted++;
+  }
+  return score >= 3 && (proven > 0 || counted >= 2);
+}
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -3,6 +3,7 @@
 import type { Machine } from "../bookkeeping/machines.js";
 import { log } from "../transport/log.js";
 import type { ConductorOptions } from "./conductor.js";
+import { looksMistaken } from "./faults.js";
 import type { Lore } from "./lore.js";
 import { place, type Hold, type PlacementPlan } from "./placement.js";
 import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
@@ -25,6 +26,11 @@
 const HOLD_MS = 6000;
 const GANG_HOLD_MS = 180_000;
 
+/** Tasks of a job that fails wherever it starts. */
+const MISTAKEN_AT_ONCE = 2;
+/** Most machines are up within one and a half times their type's boot time. */
+const LATE_BOOT_TIMES = 1.7;
+
 /** Owns the passes: takes a snapshot, has the decisions made, carries them out. */
 export class Placer {
   private passSet = false;
@@ -78,7 +84,9 @@
     for (const m of r.machines.values()) {
       if (!m.type || m.state === "leaving" || m.cordoned || m.takenAtMs !== null) continue;
       // What is on its way is written on by the renter as well: made anew each time.
-      if (m.state === "booting") coming.push(this.build(m, m.type));
+      if (m.state === "booting") {
+        if (!isLate(m, now)) coming.push(this.build(m, m.type));
+      }
       // It may answer commands and reach no controller with its reports: what is started there dies with its lease.
       else if (m.hears && now - m.lastReportMs < this.o.operator.suspectS * 1000)
         machines.push(this.view(m, m.type));
@@ -260,6 +268,8 @@
   /** Tasks to place now: the first of an array that has waited long, or what its part of the room still holds. */
   private limit(e: QueueEntry): number {
     const { spec, attempts } = e.job;
+    // It may yet be right somewhere; until it is, the room is for others.
+    if (spec.kind !== "gang" && looksMistaken(e.job)) return Math.max(0, MISTAKEN_AT_ONCE - attempts.size);
     if (e.aged && spec.kind === "array") return Math.max(4, Math.ceil(spec.tasks / 8));
     return spec.kind === "array" ? Math.max(0, e.allowed - attempts.size) : Infinity;
   }
@@ -371,6 +381,15 @@
   }
 }
 
+/**
+ * Long past its type's boot time nobody counts on it any more, so another is rented in its place; should it come up
+ * after all, it is used. One that has been up before is not late but silent: cut off, say, and back in a while. Pure.
+ */
+export function isLate(m: Machine, nowMs: number): boolean {
+  if (m.listedUp || m.attempts.size > 0 || !m.type) return false;
+  return nowMs - m.bornMs > (m.type.bootS * LATE_BOOT_TIMES + 3) * 1000;
+}
+
 /** What runs there and may be stopped one by one. */
 function victimsOn(m: Machine): VictimView[] {
   const out: VictimView[] = [];
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -5,6 +5,7 @@
 import { log } from "../transport/log.js";
 import { writeLetter } from "./commands.js";
 import type { ConductorOptions } from "./conductor.js";
+import { looksFaulty } from "./faults.js";
 import { absenceProves, firstToken, leaseOverMs, silentFromMs } from "./fences.js";
 import type { Lore } from "./lore.js";
 import type { Reign } from "./reign.js";
@@ -241,6 +242,7 @@
         return;
       case "error":
         job.errors++;
+        job.failedOn.add(m.name);
         m.failures.set(job.id, (m.failures.get(job.id) ?? 0) + 1);
         job.avoid.set(m.name, now + 60_000);
         // A job with a mistake fails everywhere: try it less and less often.
@@ -492,21 +494,6 @@
   }
 }
 
-/** Failures of jobs that run well elsewhere count double. Pure. */
-export function looksFaulty(m: Machine, jobs: Map<string, Job>): boolean {
-  let score = 0;
-  let proven = 0;
-  for (const [id, n] of m.failures) {
-    const job = jobs.get(id);
-    const well =
-      job !== undefined &&
-      (job.doneCount > 0 || [...job.attempts].some((a) => a.machine !== m && a.phase === "running"));
-    score += well ? 2 * n : n;
-    if (well) proven++;
-  }
-  return score >= 3 && (proven > 0 || m.failures.size >= 2);
-}
-
 /** A task that ran had its image. */
 function machineImage(m: Machine, job: Job, t: ReportedTask): void {
   if (t.cause === "done" || t.cause === "error") m.imageReady(job.spec.image);
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -103,6 +103,11 @@
 
 const MANY = 1e9;
 
+/** 0 means that there is none: so come guest teams, which have no guarantee either. */
+function limitOf(value: number): number {
+  return value === 0 ? Infinity : value;
+}
+
 export function readPlatform(text: string): Platform {
   let root: Table;
   try {
@@ -135,9 +140,9 @@
     teams: f.tables(cluster, "cluster", "teams").map((t, i) => ({
       name: f.text(t, `cluster.teams[${i}]`, "name"),
       cpus: f.number(t, `cluster.teams[${i}]`, "cpus", 0, MANY),
-      cpusMax: f.number(t, `cluster.teams[${i}]`, "cpus_max", 0, MANY),
+      cpusMax: limitOf(f.number(t, `cluster.teams[${i}]`, "cpus_max", 0, MANY)),
       gpus: f.number(t, `cluster.teams[${i}]`, "gpus", 0, MANY),
-      gpusMax: f.number(t, `cluster.teams[${i}]`, "gpus_max", 0, MANY),
+      gpusMax: limitOf(f.number(t, `cluster.teams[${i}]`, "gpus_max", 0, MANY)),
     })),
     objectives: f.tables(cluster, "cluster", "objectives").map((o, i) => ({
       kind: f.text(o, `cluster.objectives[${i}]`, "kind"),
--- /dev/null
+++ b/test/faults.test.ts
@@ -0,0 +1,92 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { Job, type Attempt } from "../src/bookkeeping/jobs.js";
+import { Machine } from "../src/bookkeeping/machines.js";
+import { looksFaulty, looksMistaken } from "../src/coordination/faults.js";
+import { isLate } from "../src/coordination/placer.js";
+import type { JobSpec, MachineType } from "../src/protocol/model.js";
+import { World } from "./standins/world.js";
+
+const machine = (name: string): Machine => new Machine(name, null, "a", false, 1, 0);
+
+function job(id: string, failedOn: string[], doneCount = 0, runsOn: string[] = []): Job {
+  const j = new Job({ id, tasks: 9 } as JobSpec, new Date(0), 1, null, 0);
+  failedOn.forEach((m) => j.failedOn.add(m));
+  j.doneCount = doneCount;
+  runsOn.forEach((m) => j.attempts.add({ machine: machine(m), phase: "running" } as Attempt));
+  return j;
+}
+
+test("a machine is faulty when jobs fail on it that run elsewhere; one that fails everywhere blames none", () => {
+  const m = machine("m1");
+  const everywhere = ["m1", "m2", "m3", "m4"];
+  const cases: [string, [Job, number][], boolean][] = [
+    ["a job that ended well elsewhere", [[job("a", ["m1"], 3), 2]], true],
+    ["one failure may be chance", [[job("a", ["m1"], 3), 1]], false],
+    [
+      "two jobs nobody knows more of",
+      [
+        [job("a", ["m1"]), 2],
+        [job("b", ["m1"]), 1],
+      ],
+      true,
+    ],
+    ["one job nobody knows more of", [[job("a", ["m1"]), 9]], false],
+    [
+      "two that fail wherever they start",
+      [
+        [job("a", everywhere), 5],
+        [job("b", everywhere), 5],
+      ],
+      false,
+    ],
+    [
+      "such a one beside one that runs elsewhere",
+      [
+        [job("a", everywhere), 5],
+        [job("b", ["m1"], 0, ["m9"]), 2],
+      ],
+      true,
+    ],
+  ];
+  for (const [name, failures, want] of cases) {
+    m.failures = new Map(failures.map(([j, n]) => [j.id, n]));
+    assert.equal(looksFaulty(m, new Map(failures.map(([j]) => [j.id, j]))), want, name);
+  }
+  assert.equal(looksMistaken(job("a", everywhere)), true);
+  assert.equal(looksMistaken(job("a", everywhere, 1)), false, "it has ended well somewhere");
+  assert.equal(looksMistaken(job("a", everywhere, 0, ["m7"])), false, "it runs somewhere");
+  assert.equal(looksMistaken(job("a", everywhere, 0, ["m2"])), true, "it runs where it failed before");
+});
+
+test("a boot long past its type's time is counted on no more; one that was up before is", () => {
+  const m = machine("m1");
+  m.type = { bootS: 40 } as MachineType;
+  assert.deepEqual([isLate(m, 60_000), isLate(m, 80_000)], [false, true]);
+  m.listedUp = true;
+  assert.equal(isLate(m, 80_000), false);
+});
+
+/** Their users cancel them in the end; until then they are known, and cost the others nothing. */
+test("jobs submitted with a mistake fail everywhere: little room, no machine blamed, the team's other work goes on", async () => {
+  const w = new World(41, { capacity: 10 });
+  w.failing = (ref) => ref.startsWith("job-6");
+  await w.run(3);
+  const bad = [0, 1, 2].map((i) =>
+    w.submit({ ref: `job-60000${i}`, crew: "one", spores: 40, cores: 1, memoryGb: 1, rank: "high" }, 5),
+  );
+  await w.run(20);
+  const good = [0, 1, 2, 3].map((i) =>
+    w.submit({ ref: `job-50000${i}`, crew: i % 2 ? "one" : "two", spores: 8, cores: 1, memoryGb: 1 }, 4),
+  );
+  const before = w.started;
+  await w.run(60);
+  for (const j of good) assert.equal(j.told, "done", `${j.spec.ref} in time`);
+  assert.ok(w.started - before < 32 + 3 * 2 * 20, `${w.started - before} starts`);
+  const rented = w.cloud.tufts.size;
+  assert.ok(rented <= 6, `${rented} machines for it`);
+  for (const j of bad) w.cancel(j);
+  await w.run(15);
+  for (const j of bad) assert.equal(j.told, "withdrawn");
+  assert.deepEqual(w.broken, []);
+});
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -19,7 +19,7 @@
   ended: (w: SimWorker, task: SimTask) => void;
   /** All members of this gang attempt that have their image, anywhere. */
   gang: (jobId: string, sprout: number) => { w: SimWorker; task: SimTask }[];
-  faulty: (w: SimWorker) => boolean;
+  faulty: (w: SimWorker, spore: string) => boolean;
 }
 
 /** A worker by its published protocol. */
@@ -216,7 +216,7 @@
         this.exit(key, "done");
         return;
       }
-      if (this.events.faulty(this)) {
+      if (this.events.faulty(this, task.spore)) {
         this.exit(key, "error");
         return;
       }
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -138,6 +138,8 @@
   readonly jobs = new Map<string, SimJob>();
   readonly broken: string[] = [];
   readonly faultyMachines = new Set<string>();
+  /** Was that task submitted with a mistake? It fails on every machine. */
+  failing: (spore: string) => boolean = () => false;
   started = 0;
   private closing = false;
   readonly names: string[];
@@ -200,7 +202,7 @@
               started: (w, task) => this.onStart(w, task),
               ended: (_w, task) => this.onEnd(task),
               gang: (id, sprout) => this.gang(id, sprout),
-              faulty: (w) => this.faultyMachines.has(w.tuft.ref),
+              faulty: (w, spore) => this.faultyMachines.has(w.tuft.ref) || this.failing(spore),
             },
             this.random,
           ),
