Urgent starts don't wait for checkpoints; what is overdue begins, and goes on for a while

The guests' arrays still counted as begun after 475 s: begun and stopped within seconds, again and again. What has not begun after 150 s now begins with two tasks, which are not stopped for 33 s; not measured yet.

--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -449,7 +449,7 @@
     let loss = 0;
     if (fits(spec, room)) return { victims, loss };
     const now = this.i.nowMs;
-    const able = m.victims().filter((v) => this.mayEvict(job, v));
+    const able = m.victims().filter((v) => this.mayEvict(job, v) && v.lossS(now) < Infinity);
     if (able.length === 0) return null;
     able.sort((a, b) => a.priority - b.priority || a.lossS(now) - b.lossS(now));
     for (const v of able) {
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -6,7 +6,7 @@
 import { looksMistaken } from "./faults.js";
 import type { Lore } from "./lore.js";
 import { place, type Hold, type PlacementPlan } from "./placement.js";
-import { serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
+import { BEGIN_TASKS, serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import type { Reign } from "./reign.js";
 import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
 
@@ -26,6 +26,10 @@
 const HOLD_MS = 6000;
 const GANG_HOLD_MS = 180_000;
 
+/** The largest have to begin within four minutes, whatever their priority. */
+const OVERDUE_S = 150;
+/** A start that is stopped sooner than that is none. */
+const BEGIN_KEEP_MS = 33_000;
 /** Tasks of a job that fails wherever it starts. */
 const MISTAKEN_AT_ONCE = 2;
 /** Most machines are up within one and a half times their type's boot time. */
@@ -179,6 +183,7 @@
       taskS,
       gpus: spec.gpus > 0,
       aged,
+      overdue: aged && spec.kind === "array" && waitedS > OVERDUE_S,
       late: waitedS > LATE_PART * this.patienceS(spec.className),
       allowed: Infinity,
       tasks: job.pending + job.attempts.size,
@@ -270,7 +275,7 @@
     const { spec, attempts } = e.job;
     // It may yet be right somewhere; until it is, the room is for others.
     if (spec.kind !== "gang" && looksMistaken(e.job)) return Math.max(0, MISTAKEN_AT_ONCE - attempts.size);
-    if (e.aged && spec.kind === "array") return Math.max(4, Math.ceil(spec.tasks / 8));
+    if (e.aged && spec.kind === "array") return Math.min(e.allowed, Math.max(4, Math.ceil(spec.tasks / 8)));
     return spec.kind === "array" ? Math.max(0, e.allowed - attempts.size) : Infinity;
   }
 
@@ -370,8 +375,13 @@
     for (const e of plan.evictions) {
       const a = e.ref as Attempt;
       if (a.stop || !a.machine.attempts.has(a)) continue;
+      const by = this.r.jobs.get(e.jobId);
+      const quickS = by ? this.quickS(by, now) : null;
       log.debug(() => `${a.job.id}/${a.task} makes room on ${a.machine.name} for ${e.jobId}`);
-      this.r.attempts.stopOrderly(a);
+      // Who has to begin at once can't wait until a checkpoint is written: what ran since the last one is lost instead.
+      if (quickS !== null && quickS < a.job.spec.saveS + 1 && a.job.spec.kind === "array")
+        this.r.attempts.stopAttempt(a, 0);
+      else this.r.attempts.stopOrderly(a);
     }
   }
 
@@ -411,9 +421,21 @@
   return out;
 }
 
-/** Seconds of work that stopping the attempt throws away. */
+/**
+ * What began out of turn goes on for a while: stopped for higher work again and again within seconds, a job of the lowest
+ * priority would never have begun in its users' eyes. Pure.
+ */
+export function hasJustBegun(job: Job, nowMs: number): boolean {
+  if (job.doneCount > 0 || job.attempts.size > BEGIN_TASKS || nowMs - job.bornMs < OVERDUE_S * 1000)
+    return false;
+  for (const a of job.attempts) if (a.runningMs !== null && nowMs - a.runningMs > BEGIN_KEEP_MS) return false;
+  return job.spec.kind === "array";
+}
+
+/** Seconds of work that stopping the attempt throws away; Infinity: it may not be stopped. */
 function lossOf(a: Attempt, nowMs: number): number {
   const { spec } = a.job;
+  if (hasJustBegun(a.job, nowMs)) return Infinity;
   if (spec.kind === "service") return 600;
   if (a.runningMs === null) return 1;
   const ranS = (nowMs - a.runningMs) / 1000;
--- a/src/coordination/queue.ts
+++ b/src/coordination/queue.ts
@@ -38,6 +38,8 @@
   gpus: boolean;
   /** Nothing of it has begun for too long, however small what passed it was. */
   aged: boolean;
+  /** Nothing of it has begun for so long that it soon has to, whatever its priority. */
+  overdue: boolean;
   /** Most of its class's loosest wish is over, and it isn't done. */
   late: boolean;
   /** Tasks that it may have running: what is late keeps to its part of the room. Set by `serveOrder`. */
@@ -77,6 +79,9 @@
  * wish, and the others keep theirs. Those that stepped back are tried again at their next, looser wish; what can't
  * meet any comes last, the smallest first. Pure.
  */
+/** Jobs that begin out of turn in one pass, each with so many tasks. */
+const BEGIN_JOBS = 8;
+export const BEGIN_TASKS = 2;
 /** Of a priority's room, what is late may take so much before those who can still be in time. */
 const LATE_SHARE = 0.35;
 
@@ -86,8 +91,17 @@
 ): QueueEntry[] {
   const out: QueueEntry[] = [];
   const ranks = [...new Set(entries.map((e) => e.priority))].sort((a, b) => b - a);
+  // On a full cluster a lower priority would never begin. A task or two cost those above it next to nothing.
+  const begins = new Set(
+    entries
+      .filter((e) => e.overdue && e.priority < ranks[0]!)
+      .sort(bySince)
+      .slice(0, BEGIN_JOBS),
+  );
+  for (const e of begins) e.allowed = BEGIN_TASKS;
+  out.push(...begins);
   for (const rank of ranks) {
-    const ranked = entries.filter((e) => e.priority === rank);
+    const ranked = entries.filter((e) => e.priority === rank && !begins.has(e));
     // Stepping back has an end: who has waited too long comes first, the longest wait before the others.
     out.push(...ranked.filter((e) => e.aged).sort(bySince));
     for (const gpus of [true, false]) {
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -3,7 +3,7 @@
 import { Job, type Attempt } from "../src/bookkeeping/jobs.js";
 import { Machine } from "../src/bookkeeping/machines.js";
 import { looksFaulty, looksMistaken } from "../src/coordination/faults.js";
-import { isLate } from "../src/coordination/placer.js";
+import { hasJustBegun, isLate } from "../src/coordination/placer.js";
 import type { JobSpec, MachineType } from "../src/protocol/model.js";
 import { World } from "./standins/world.js";
 
@@ -90,3 +90,21 @@
   for (const j of bad) assert.equal(j.told, "withdrawn");
   assert.deepEqual(w.broken, []);
 });
+
+test("what began late with a task or two isn't stopped for a while; what has many, ended one, or ran long may be", () => {
+  const begun = (tasks: number, ranS: number, doneCount = 0, kind = "array"): Job => {
+    const j = new Job({ id: "a", tasks: 99, kind } as JobSpec, new Date(0), 1, null, 0);
+    j.doneCount = doneCount;
+    for (let i = 0; i < tasks; i++) j.attempts.add({ runningMs: 200_000 - ranS * 1000 } as Attempt);
+    return j;
+  };
+  const cases: [string, Job, number, boolean][] = [
+    ["two tasks of ten seconds", begun(2, 10), 200_000, true],
+    ["early on, it is in its turn", begun(2, 10), 140_000, false],
+    ["many tasks", begun(3, 10), 200_000, false],
+    ["it has counted as begun", begun(2, 40), 200_000, false],
+    ["one has ended", begun(2, 10, 1), 200_000, false],
+    ["a service", begun(1, 10, 0, "service"), 200_000, false],
+  ];
+  for (const [name, j, nowMs, want] of cases) assert.equal(hasJustBegun(j, nowMs), want, name);
+});
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -12,6 +12,7 @@
     guaranteed: false,
     gpus: false,
     aged: false,
+    overdue: false,
     late: false,
     allowed: Infinity,
     tasks: 10,
@@ -47,6 +48,21 @@
       ],
       want: "older old new last huge",
     },
+    {
+      name: "what has not begun for too long begins with a little, whatever its priority, the longest wait first",
+      entries: [
+        entry("top", 1, [], { priority: 3 }),
+        entry("begin", 900, [], { priority: 0, aged: true, overdue: true }),
+        entry("before", 900, [], { priority: 1, aged: true, overdue: true, since: -1 }),
+        entry("waits", 1, [], { priority: 0 }),
+      ],
+      want: "before begin top waits",
+    },
+    {
+      name: "of the highest priority there is, in its turn",
+      entries: [entry("due", 1, [50]), entry("over", 900, [], { overdue: true })],
+      want: "due over",
+    },
     { name: "without wishes, as they came", entries: [entry("a", 90, []), entry("b", 10, [])], want: "a b" },
     {
       name: "when all fit, the nearest due first",
@@ -78,6 +94,8 @@
   for (const c of cases) {
     const got = serveOrder(c.entries, () => 10);
     assert.equal(got.map((e) => e.id).join(" "), c.want, c.name);
+    for (const e of got)
+      if (e.id.startsWith("be")) assert.equal(e.allowed, 2, "no more than two tasks out of turn");
     // Of 3.5 in a room of 10, the older takes 2, and the old one's 10 tasks of 2 in all keep to the rest.
     const old = got.find((e) => e.id === "old");
     if (old) assert.equal(old.allowed, 7, "the last of the late ones keeps to what is left of the part");
