Names of the field: leader, leader term, report server, estimates, command sender

No behaviour changed: Conductor, Reign, Gate, Lore and Courier are renamed, with their files and the docs.

--- a/src/coordination/archive.ts
+++ b/src/coordination/archive.ts
@@ -7,9 +7,9 @@
 import type { Timer } from "../transport/clock.js";
 import { log } from "../transport/log.js";
 import { newStop } from "./attempts.js";
-import type { ConductorOptions } from "./conductor.js";
-import type { Lore } from "./lore.js";
-import type { Reign } from "./reign.js";
+import type { LeaderOptions } from "./leader.js";
+import type { Estimates } from "./estimates.js";
+import type { LeaderTerm } from "./leaderTerm.js";
 
 /** Results wait so long for company: what needs them sooner, the end of their job, is written at once. */
 export const LAZY_WRITE_MS = 3000;
@@ -35,9 +35,9 @@
   private readonly rereading = new Set<string>();
 
   constructor(
-    private readonly r: Reign,
-    private readonly o: ConductorOptions,
-    private readonly lore: Lore,
+    private readonly r: LeaderTerm,
+    private readonly o: LeaderOptions,
+    private readonly estimates: Estimates,
   ) {}
 
   load(): void {
@@ -76,7 +76,7 @@
       if (item.key === keys.types) {
         this.typesVersion = item.version;
         const types = decodeTypes(item.value);
-        if (types && !this.lore.typesKnown)
+        if (types && !this.estimates.typesKnown)
           this.o.tell({ kind: "cloud", news: { kind: "types", types, stored: true } });
       } else if (item.key === keys.moves) this.movesVersion = item.version;
     }
@@ -115,7 +115,7 @@
     }
     const ageMs = Math.max(0, this.o.clock.today().getTime() - head.acceptedAt.getTime());
     this.r.jobsVersion++;
-    this.lore.profile(head.spec);
+    this.estimates.profile(head.spec);
     this.r.jobs.set(id, Job.fromHead(head, item.version, this.o.clock.nowMs() - ageMs));
   }
 
@@ -245,7 +245,7 @@
     }
     if (this.typesDirty && t.changes.length < limits.changes) {
       t.guards.push({ key: keys.types, version: this.typesVersion });
-      t.changes.push({ put: keys.types, value: encodeTypes(this.lore.types) });
+      t.changes.push({ put: keys.types, value: encodeTypes(this.estimates.types) });
       t.types = true;
     }
     if (t.changes.length === 0) {
--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -1,11 +1,11 @@
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
 import { log } from "../transport/log.js";
 import { LAZY_WRITE_MS } from "./archive.js";
-import type { Reign } from "./reign.js";
+import type { LeaderTerm } from "./leaderTerm.js";
 
 /** Owns the life of attempts: from the plan, through stops, to the proof that they are gone. */
 export class Attempts {
-  constructor(private readonly r: Reign) {}
+  constructor(private readonly r: LeaderTerm) {}
 
   attach(a: Attempt): void {
     a.job.attach(a);
--- a/src/coordination/courier.ts
+++ b/src/coordination/commandSender.ts
@@ -9,7 +9,7 @@
   { kind: "send"; errand: Errand; back: Back } | { kind: "back"; result: ErrandResult; back: Back };
 
 /** Carries commands straight to workers. One errand at a time to each machine. */
-export class Courier extends Actor<Message> {
+export class CommandSender extends Actor<Message> {
   private readonly busy = new Set<string>();
 
   constructor(
@@ -20,7 +20,7 @@
   }
 
   protected override failed(message: Message, error: unknown): void {
-    log.error(`courier: ${message.kind}: ${String(error)}`);
+    log.error(`command sender: ${message.kind}: ${String(error)}`);
   }
 
   protected override handle(message: Message): void {
--- a/src/coordination/dispatch.ts
+++ b/src/coordination/dispatch.ts
@@ -1,7 +1,7 @@
 import type { Errand, ErrandResult } from "../protocol/model.js";
 import type { PeerMessage } from "../protocol/peers.js";
 import type { Clock } from "../transport/clock.js";
-import type { Courier } from "./courier.js";
+import type { CommandSender } from "./commandSender.js";
 
 /** Errands that come up together travel together, and so do their results, which nobody waits for. */
 const GATHER_MS = 5;
@@ -20,7 +20,7 @@
   constructor(
     private readonly node: string,
     private readonly clock: Clock,
-    private readonly courier: Courier,
+    private readonly commandSender: CommandSender,
     private readonly send: (peer: string, message: PeerMessage) => boolean,
     private readonly onResult: (term: number, result: ErrandResult) => void,
   ) {}
@@ -48,13 +48,13 @@
   }
 
   private carry(term: number, errand: Errand): void {
-    this.courier.tell({ kind: "send", errand, back: (result) => this.onResult(term, result) });
+    this.commandSender.tell({ kind: "send", errand, back: (result) => this.onResult(term, result) });
   }
 
   /** The leader asks us to carry some. */
   asked(from: string, term: number, errands: Errand[]): void {
     for (const errand of errands) {
-      this.courier.tell({ kind: "send", errand, back: (result) => this.giveBack(from, term, result) });
+      this.commandSender.tell({ kind: "send", errand, back: (result) => this.giveBack(from, term, result) });
     }
   }
 
--- a/src/coordination/lore.ts
+++ b/src/coordination/estimates.ts
@@ -3,7 +3,7 @@
 import type { Claim } from "./views.js";
 
 /** What a controller knows whatever the term: machine types, and what the days have taught. */
-export class Lore {
+export class Estimates {
   types: MachineType[] = [];
   typesKnown = false;
   readonly learner = new Learner();
--- a/src/coordination/conductor.ts
+++ b/src/coordination/leader.ts
@@ -15,11 +15,11 @@
 import { log } from "../transport/log.js";
 import type { CloudDesk, CloudNews } from "./cloudDesk.js";
 import type { ElectionNews } from "./election.js";
-import type { AckLimits } from "./gate.js";
-import { Lore } from "./lore.js";
-import { Reign } from "./reign.js";
+import type { AckLimits } from "./reportServer.js";
+import { Estimates } from "./estimates.js";
+import { LeaderTerm } from "./leaderTerm.js";
 
-export type ConductorMessage =
+export type LeaderMessage =
   | { kind: "election"; news: ElectionNews }
   | { kind: "serving"; serving: Serving }
   | {
@@ -39,7 +39,7 @@
   | { kind: "write"; term: number }
   | { kind: "tick" };
 
-export interface ConductorOptions {
+export interface LeaderOptions {
   platform: Platform;
   operator: Operator;
   state: StateClient;
@@ -48,15 +48,15 @@
   /** Has commands carried, by the controller that serves the machine or from here. */
   errand: (term: number, via: string | null, errand: Errand) => void;
   sendGrant: (peer: string, grant: Grant) => void;
-  /** Who serves workers: the gate beside us spreads them, too. */
+  /** Who serves workers: the report server beside us spreads them, too. */
   onHomes: (homes: Grant["homes"]) => void;
-  /** What the gate beside us may acknowledge. */
+  /** What the report server beside us may acknowledge. */
   onAckLimits: (limits: AckLimits) => void;
   /** Workers that report to this node. */
   served: () => number;
   lagMs: () => number;
-  /** To the conductor itself: how answers of the outside come back into its mailbox. */
-  tell: (message: ConductorMessage) => void;
+  /** To the leader itself: how answers of the outside come back into its mailbox. */
+  tell: (message: LeaderMessage) => void;
   onDeposed: (term: number) => void;
   /** This node falls behind, and others do not. */
   onBehind: (term: number) => void;
@@ -67,17 +67,19 @@
 const TICK_MS = 250;
 
 /** The leader's actor: holds the term's parts while there is one, and hands each message to the part it concerns. */
-export class Conductor extends Actor<ConductorMessage> {
-  private reign: Reign | null = null;
-  private readonly o: ConductorOptions;
-  private readonly lore: Lore;
+export class Leader extends Actor<LeaderMessage> {
+  private leaderTerm: LeaderTerm | null = null;
+  private readonly o: LeaderOptions;
+  private readonly estimates: Estimates;
   private timer: Timer | null = null;
   private stopped = false;
 
-  constructor(options: Omit<ConductorOptions, "tell">) {
+  constructor(options: Omit<LeaderOptions, "tell">) {
     super();
     this.o = { ...options, tell: (message) => this.tell(message) };
-    this.lore = new Lore(new Set([options.platform.zone, ...options.platform.peers.map((p) => p.zone)]));
+    this.estimates = new Estimates(
+      new Set([options.platform.zone, ...options.platform.peers.map((p) => p.zone)]),
+    );
   }
 
   start(): void {
@@ -89,11 +91,11 @@
     this.timer?.cancel();
   }
 
-  protected override failed(message: ConductorMessage, error: unknown): void {
-    log.error(`conductor: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
+  protected override failed(message: LeaderMessage, error: unknown): void {
+    log.error(`leader: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
   }
 
-  protected override handle(message: ConductorMessage): void {
+  protected override handle(message: LeaderMessage): void {
     switch (message.kind) {
       case "election":
         this.elected(message.news);
@@ -108,7 +110,7 @@
         break;
     }
     // Whatever belongs to a term that is over is dropped.
-    const r = this.reign;
+    const r = this.leaderTerm;
     if (!r || r.mandate.term !== (message.kind === "serving" ? message.serving.term : message.term)) return;
     switch (message.kind) {
       case "serving":
@@ -141,39 +143,39 @@
 
   private elected(news: ElectionNews): void {
     const { mandate } = news;
-    if (this.reign && this.reign.mandate.term === mandate?.term) {
-      this.reign.mandate = mandate;
+    if (this.leaderTerm && this.leaderTerm.mandate.term === mandate?.term) {
+      this.leaderTerm.mandate = mandate;
       return;
     }
-    if (this.reign) this.reign.over = true;
-    this.reign = mandate ? new Reign(mandate, this.o, this.lore) : null;
-    if (!this.reign) return;
-    this.reign.archive.load();
+    if (this.leaderTerm) this.leaderTerm.over = true;
+    this.leaderTerm = mandate ? new LeaderTerm(mandate, this.o, this.estimates) : null;
+    if (!this.leaderTerm) return;
+    this.leaderTerm.archive.load();
     this.tell({ kind: "tick" });
   }
 
   private heardFromCloud(news: CloudNews): void {
     if (news.kind !== "types") {
-      this.reign?.fleet.heard(news);
+      this.leaderTerm?.fleet.heard(news);
       return;
     }
-    if (!news.stored || !this.lore.typesKnown) this.setTypes(news.types, !news.stored);
-    this.reign?.placer.requestPass();
+    if (!news.stored || !this.estimates.typesKnown) this.setTypes(news.types, !news.stored);
+    this.leaderTerm?.placer.requestPass();
   }
 
   private setTypes(types: MachineType[], fromCloud: boolean): void {
     if (types.length === 0) return;
-    const changed = this.lore.setTypes(types);
+    const changed = this.estimates.setTypes(types);
     if (changed) this.o.onTypes(types);
-    this.reign?.typesChanged(fromCloud && changed, fromCloud);
+    this.leaderTerm?.typesChanged(fromCloud && changed, fromCloud);
   }
 
   private tick(): void {
     if (this.stopped) return;
     this.timer?.cancel();
     // Without a term there is nothing to do: the next one begins it.
-    if (!this.reign) return;
+    if (!this.leaderTerm) return;
     this.timer = this.o.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
-    this.reign.tick(this.o.clock.nowMs());
+    this.leaderTerm.tick(this.o.clock.nowMs());
   }
 }
--- a/src/coordination/reign.ts
+++ b/src/coordination/leaderTerm.ts
@@ -5,12 +5,12 @@
 import { log } from "../transport/log.js";
 import { Archive, LAZY_WRITE_MS } from "./archive.js";
 import { Attempts } from "./attempts.js";
-import type { ConductorOptions } from "./conductor.js";
+import type { LeaderOptions } from "./leader.js";
 import type { Mandate } from "./election.js";
 import { AckBound } from "./ackBound.js";
 import { firstAttempt, firstToken, homeGrantMs, MIN_HOME_MS } from "./fences.js";
 import { FleetUse } from "./fleetUse.js";
-import type { Lore } from "./lore.js";
+import type { Estimates } from "./estimates.js";
 import { Rounds } from "./magnet/rounds.js";
 import { Placer } from "./placer.js";
 import { Renter } from "./renter.js";
@@ -25,7 +25,7 @@
 const TELL_USE_MS = 60_000;
 
 /** Everything that one term's leader knows, by the part that owns it. Thrown away whole with the term. */
-export class Reign {
+export class LeaderTerm {
   loaded = false;
   over = false;
   /** Counts jobs that come, go or are cancelled. */
@@ -57,23 +57,23 @@
 
   constructor(
     public mandate: Mandate,
-    readonly o: ConductorOptions,
-    private readonly lore: Lore,
+    readonly o: LeaderOptions,
+    private readonly estimates: Estimates,
   ) {
     this.startedMs = o.clock.nowMs();
     this.toldUseMs = this.startedMs;
     this.usage = new Usage(o.platform.teams);
     this.nextAttempt = firstAttempt(mandate.term);
-    this.lastTypesMs = lore.typesKnown ? this.startedMs : -Infinity;
+    this.lastTypesMs = estimates.typesKnown ? this.startedMs : -Infinity;
     const { platform } = o;
     this.ackBound = new AckBound(platform);
     const homeMs = homeGrantMs(platform.cancelS, platform.leaseS);
     this.servers = new Servers(new Map(platform.peers.map((p) => [p.name, p.zone])), homeMs);
     this.attempts = new Attempts(this);
-    this.archive = new Archive(this, o, lore);
-    this.supervisor = new Supervisor(this, o, lore);
-    this.fleet = new Renter(this, o, lore);
-    this.placer = new Placer(this, o, lore);
+    this.archive = new Archive(this, o, estimates);
+    this.supervisor = new Supervisor(this, o, estimates);
+    this.fleet = new Renter(this, o, estimates);
+    this.placer = new Placer(this, o, estimates);
     this.rounds = new Rounds(this, o);
   }
 
@@ -103,7 +103,7 @@
     }
   }
 
-  /** Works out anew what may be acknowledged, and tells the gate beside us. */
+  /** Works out anew what may be acknowledged, and tells the report server beside us. */
   limitAcks(now: number): void {
     if (!this.loaded) return;
     const knownMs = this.servers.cancelsKnownToMs(this.archive.knownToMs);
@@ -128,7 +128,8 @@
   }
 
   typesChanged(changedByCloud: boolean, fromCloud: boolean): void {
-    for (const m of this.machines.values()) if (m.type) m.type = this.lore.typeNamed(m.type.name) ?? m.type;
+    for (const m of this.machines.values())
+      if (m.type) m.type = this.estimates.typeNamed(m.type.name) ?? m.type;
     if (changedByCloud || (fromCloud && this.archive.typesVersion === 0)) {
       this.archive.typesDirty = true;
       this.archive.requestWrite(0);
@@ -137,7 +138,7 @@
 
   tick(now: number): void {
     const { platform, operator, cloud } = this.o;
-    if (now - this.lastTypesMs > (this.lore.typesKnown ? 60_000 : 2000)) {
+    if (now - this.lastTypesMs > (this.estimates.typesKnown ? 60_000 : 2000)) {
       this.lastTypesMs = now;
       cloud.tell({ kind: "types" });
     }
--- a/src/coordination/magnet/rounds.ts
+++ b/src/coordination/magnet/rounds.ts
@@ -1,7 +1,7 @@
 import type { Attempt } from "../../bookkeeping/jobs.js";
 import { log } from "../../transport/log.js";
-import type { ConductorOptions } from "../conductor.js";
-import type { Reign } from "../reign.js";
+import type { LeaderOptions } from "../leader.js";
+import type { LeaderTerm } from "../leaderTerm.js";
 import { allows, zoneRoom } from "../views.js";
 import { release, type MeasuredMachine } from "./release.js";
 import { loadOf, ringOf } from "./rings.js";
@@ -15,8 +15,8 @@
   readonly prefer = new Map<string, { machine: string; untilMs: number }>();
 
   constructor(
-    private readonly r: Reign,
-    private readonly o: ConductorOptions,
+    private readonly r: LeaderTerm,
+    private readonly o: LeaderOptions,
   ) {
     this.lastRoundMs = o.clock.nowMs();
   }
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -2,12 +2,12 @@
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
 import type { Machine } from "../bookkeeping/machines.js";
 import { log } from "../transport/log.js";
-import type { ConductorOptions } from "./conductor.js";
+import type { LeaderOptions } from "./leader.js";
 import { looksMistaken } from "./faults.js";
-import type { Lore } from "./lore.js";
+import type { Estimates } from "./estimates.js";
 import { place, type Hold, type PlacementPlan } from "./placement.js";
 import { BEGIN_TASKS, serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
-import type { Reign } from "./reign.js";
+import type { LeaderTerm } from "./leaderTerm.js";
 import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
 
 const PASS_DELAY_MS = 3;
@@ -50,9 +50,9 @@
   >();
 
   constructor(
-    private readonly r: Reign,
-    private readonly o: ConductorOptions,
-    private readonly lore: Lore,
+    private readonly r: LeaderTerm,
+    private readonly o: LeaderOptions,
+    private readonly estimates: Estimates,
   ) {}
 
   requestPass(): void {
@@ -65,8 +65,8 @@
 
   pass(): void {
     this.passSet = false;
-    const { r, lore } = this;
-    if (!r.loaded || !r.full() || !lore.typesKnown) return;
+    const { r, estimates } = this;
+    if (!r.loaded || !r.full() || !estimates.typesKnown) return;
     const now = this.o.clock.nowMs();
     const guaranteed = this.guaranteed();
     const entries: QueueEntry[] = [];
@@ -81,7 +81,7 @@
   }
 
   private place(entries: QueueEntry[], guaranteed: Set<Job>, now: number): void {
-    const { r, lore } = this;
+    const { r, estimates } = this;
     const inOrder = serveOrder(entries, this.rooms());
     const machines: MachineView[] = [];
     const coming: MachineView[] = [];
@@ -96,10 +96,10 @@
         machines.push(this.view(m, m.type));
     }
     for (const order of r.fleet.renting.values()) {
-      const type = lore.typeNamed(order.type);
+      const type = estimates.typeNamed(order.type);
       if (!type) continue;
       for (let i = 0; i < order.count; i++)
-        coming.push(emptyView(type, order.zone, order.spot, lore.claimOn(type, order.spot)));
+        coming.push(emptyView(type, order.zone, order.spot, estimates.claimOn(type, order.spot)));
     }
     let lowest = Infinity;
     let borrowing = false;
@@ -131,7 +131,7 @@
         const job = r.jobs.get(id);
         return job !== undefined && guaranteed.has(job);
       },
-      takenPerH: lore.takenPerH,
+      takenPerH: estimates.takenPerH,
       nowMs: now,
     });
     for (const v of plan.touched) this.views.delete(v.name);
@@ -166,7 +166,7 @@
 
   private entry(job: Job, guaranteed: boolean, now: number): QueueEntry {
     const { spec } = job;
-    const taskS = Math.max(1, this.lore.learner.expectedS(spec.className, spec.estimateS));
+    const taskS = Math.max(1, this.estimates.learner.expectedS(spec.className, spec.estimateS));
     const agoS = (now - job.bornMs) / 1000;
     let runningS = 0;
     for (const a of job.attempts) {
@@ -229,7 +229,7 @@
     for (const m of this.r.machines.values()) {
       if (!m.type || m.state === "leaving" || m.cordoned) continue;
       all.gpus += m.type.gpus;
-      if (m.type.gpus === 0 || !this.lore.claimOn(m.type, m.spot)) all.cpus += m.type.cpus;
+      if (m.type.gpus === 0 || !this.estimates.claimOn(m.type, m.spot)) all.cpus += m.type.cpus;
     }
     // Counted by jobs, not by attempts: there are ten times as many of those.
     const used = new Map<number, { cpus: number; gpus: number }>();
@@ -293,18 +293,18 @@
     if (
       known?.of === m &&
       known.changes === m.changes &&
-      known.claims === this.lore.claims &&
+      known.claims === this.estimates.claims &&
       known.view.type === type
     ) {
       return known.view;
     }
     const view = this.build(m, type);
-    this.views.set(m.name, { of: m, changes: m.changes, claims: this.lore.claims, view });
+    this.views.set(m.name, { of: m, changes: m.changes, claims: this.estimates.claims, view });
     return view;
   }
 
   private build(m: Machine, type: MachineType): MachineView {
-    const view = emptyView(type, m.zone, m.spot, this.lore.claimOn(type, m.spot));
+    const view = emptyView(type, m.zone, m.spot, this.estimates.claimOn(type, m.spot));
     view.name = m.name;
     view.idleSinceMs = m.state === "up" ? m.idleSinceMs : null;
     view.free.cpus -= m.used.cpus;
@@ -313,7 +313,7 @@
     for (const image of m.images.keys()) if (m.hasImage(image)) view.images.add(image);
     for (const image of m.fetching.keys()) view.fetching.add(image);
     view.backlogGb = m.fetchBacklogGb();
-    view.withControllers = this.lore.controllerZones.has(m.zone);
+    view.withControllers = this.estimates.controllerZones.has(m.zone);
     for (const a of m.attempts) {
       const { spec } = a.job;
       view.gpuBusy ||= spec.gpus > 0;
@@ -337,7 +337,7 @@
     const { spec } = a.job;
     if (spec.kind === "service") return 3600;
     const ranS = a.runningMs === null ? 0 : (nowMs - a.runningMs) / 1000;
-    return Math.max(3, this.lore.learner.expectedS(spec.className, spec.estimateS) - ranS);
+    return Math.max(3, this.estimates.learner.expectedS(spec.className, spec.estimateS) - ranS);
   }
 
   private carryOut(plan: PlacementPlan, now: number): void {
--- a/src/coordination/renter.ts
+++ b/src/coordination/renter.ts
@@ -2,11 +2,11 @@
 import type { Machine } from "../bookkeeping/machines.js";
 import { log } from "../transport/log.js";
 import type { CloudNews, RentOrder } from "./cloudDesk.js";
-import type { ConductorOptions } from "./conductor.js";
+import type { LeaderOptions } from "./leader.js";
 import { wishToRent } from "./fleet.js";
-import type { Lore } from "./lore.js";
+import type { Estimates } from "./estimates.js";
 import type { PlacementPlan } from "./placement.js";
-import type { Reign } from "./reign.js";
+import type { LeaderTerm } from "./leaderTerm.js";
 import { allows, howMany, type MachineView } from "./views.js";
 
 /** What the cloud refused is asked for again after this, then after twice as long, and so on. */
@@ -29,9 +29,9 @@
   private lastWishMs = -Infinity;
 
   constructor(
-    private readonly r: Reign,
-    private readonly o: ConductorOptions,
-    private readonly lore: Lore,
+    private readonly r: LeaderTerm,
+    private readonly o: LeaderOptions,
+    private readonly estimates: Estimates,
   ) {}
 
   /** What the cloud said of machines. */
@@ -45,7 +45,7 @@
           if (this.r.removed.has(name)) continue;
           const m = this.r.machine(name, news.order.zone);
           m.spot = news.order.spot;
-          m.type ??= this.lore.typeNamed(news.order.type);
+          m.type ??= this.estimates.typeNamed(news.order.type);
         }
         if (news.names.length > 0) this.available(news.order.type, news.order.zone, news.order.spot);
         if (news.names.length < news.order.count) this.refused(news.order, now);
@@ -84,7 +84,7 @@
       m.bornMs = now - l.ageS * 1000;
       log.info(`${l.name}: found in the cloud's list (${l.type} ${l.zone}, ${l.phase})`);
     }
-    m.type ??= this.lore.typeNamed(l.type);
+    m.type ??= this.estimates.typeNamed(l.type);
     if (m.zone === "") m.zone = l.zone;
     if (m.address === "") m.address = l.address;
     if (m.state === "booting") m.spot = l.spot;
@@ -101,7 +101,7 @@
 
   /** Nothing that the job could use is to be had there at present. */
   refusedAll(spec: JobSpec, zone: string, now: number): boolean {
-    for (const type of this.lore.types) {
+    for (const type of this.estimates.types) {
       if (!type.zones.includes(zone) || !allows(spec, type.name, zone, false)) continue;
       if (howMany(spec, { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb }) <= 0) continue;
       for (const spot of spec.spot ? [true, false] : [false])
@@ -136,11 +136,11 @@
     for (const [key, untilMs] of this.refusedUntilMs) if (untilMs > now) refused.add(key);
     const wishes = wishToRent({
       unplaced: plan.unplaced,
-      types: this.lore.types,
+      types: this.estimates.types,
       coming,
       refused: (type, zone, spot) => refused.size > 0 && refused.has(`${type} ${zone} ${spot}`),
       maxMachines: MAX_MACHINES,
-      claim: (type, spot) => this.lore.claimOn(type, spot),
+      claim: (type, spot) => this.estimates.claimOn(type, spot),
     });
     for (const w of wishes) {
       // The cloud answers a few calls a second: one question at a time about each kind of machine, few under way,
--- a/src/coordination/gate.ts
+++ b/src/coordination/reportServer.ts
@@ -31,7 +31,7 @@
   toldSeq: number;
 }
 
-export interface GateOptions {
+export interface ReportServerOptions {
   node: string;
   zone: string;
   /** Each controller's zone, ours included. */
@@ -45,8 +45,8 @@
   /** To the leader, whoever that is; true when it went out. */
   toLeader: (leader: string, serving: Serving) => void;
   toNeighbour: (node: string, message: PeerMessage) => void;
-  /** To the conductor beside us, while it leads. */
-  toConductor: (serving: Serving) => void;
+  /** To the leader beside us, while it leads. */
+  toLeaderHere: (serving: Serving) => void;
   /** A worker has seen the token of a later term. */
   onLaterTerm: (term: number) => void;
   lagMs: () => number;
@@ -93,7 +93,7 @@
  * a worker's lease, so it is given only while the grant lasts, and every one of them is told to the leader, whose
  * proofs count on that (rule `ran_twice`). Commands come from the leader alone, by errands.
  */
-export class Gate extends Actor<Message> {
+export class ReportServer extends Actor<Message> {
   private leader: string | null = null;
   private term = 0;
   private mandate: Mandate | null = null;
@@ -123,7 +123,7 @@
   private nextTrickleMs = -Infinity;
   /** The other controllers of our zone. */
   private readonly neighbours: string[];
-  /** As leader: what the conductor beside us allows in this term. */
+  /** As leader: what the leader beside us allows in this term. */
   private limitMs = -Infinity;
   private barred = new Set<string>();
   private readonly told: ToldCancels;
@@ -131,7 +131,7 @@
   private timer: Timer | null = null;
   private stopped = false;
 
-  constructor(private readonly o: GateOptions) {
+  constructor(private readonly o: ReportServerOptions) {
     super();
     this.told = new ToldCancels(o.keepToldMs);
     this.neighbours = [...o.zones]
@@ -154,7 +154,7 @@
   }
 
   protected override failed(message: Message, error: unknown): void {
-    log.error(`gate: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
+    log.error(`report server: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
     if (message.kind === "report") message.reply({ status: 503, body: {} });
   }
 
@@ -426,7 +426,7 @@
         reports: part,
         ...(last ? told : { told: [], toldSeq: 0, toldAll: false }),
       };
-      if (this.mandate) this.o.toConductor(serving);
+      if (this.mandate) this.o.toLeaderHere(serving);
       else if (this.leader !== null) this.o.toLeader(this.leader, serving);
     });
   }
--- a/src/coordination/supervisor.ts
+++ b/src/coordination/supervisor.ts
@@ -4,11 +4,11 @@
 import type { Machine } from "../bookkeeping/machines.js";
 import { log } from "../transport/log.js";
 import { writeLetter } from "./commands.js";
-import type { ConductorOptions } from "./conductor.js";
+import type { LeaderOptions } from "./leader.js";
 import { looksFaulty } from "./faults.js";
 import { absenceProves, firstToken, leaseOverMs, silentFromMs } from "./fences.js";
-import type { Lore } from "./lore.js";
-import type { Reign } from "./reign.js";
+import type { Estimates } from "./estimates.js";
+import type { LeaderTerm } from "./leaderTerm.js";
 
 /** A machine that has to show that it hears us is asked this often. */
 const PROBE_MS = 1500;
@@ -34,14 +34,14 @@
   private readonly zones: Map<string, string>;
 
   constructor(
-    private readonly r: Reign,
-    private readonly o: ConductorOptions,
-    private readonly lore: Lore,
+    private readonly r: LeaderTerm,
+    private readonly o: LeaderOptions,
+    private readonly estimates: Estimates,
   ) {
     this.zones = new Map(o.platform.peers.map((p) => [p.name, p.zone]));
   }
 
-  /** What a controller has acknowledged under our grant (or the gate beside us by our own mandate). */
+  /** What a controller has acknowledged under our grant (or the report server beside us by our own mandate). */
   served(s: Serving): void {
     const { r } = this;
     const now = this.o.clock.nowMs();
@@ -69,7 +69,7 @@
     );
     if (!grant) return;
     this.o.sendGrant(s.from, grant);
-    // The gate beside us spreads workers as well, from the first moment on.
+    // The report server beside us spreads workers as well, from the first moment on.
     this.o.onHomes(grant.homes);
   }
 
@@ -140,7 +140,7 @@
     m.address = report.address;
     m.zone = report.zone;
     m.spot = report.spot;
-    m.type = this.lore.types.find((t) => t.name === report.type) ?? m.type;
+    m.type = this.estimates.types.find((t) => t.name === report.type) ?? m.type;
     m.reported = report.tasks;
     if (
       m.attempts.size === 0 &&
@@ -159,7 +159,7 @@
     if (report.noticeS !== null) {
       if (m.takenAtMs === null) {
         m.noticeNew = true;
-        this.lore.spotTaken();
+        this.estimates.spotTaken();
         log.info(`${m.name}: will be taken in ${report.noticeS.toFixed(1)} s`);
       }
       m.takenAtMs = now + report.noticeS * 1000;
@@ -237,7 +237,7 @@
     switch (t.cause) {
       case "done":
         m.failures.clear();
-        if (ranS > 0) this.lore.learner.ran(job.spec.className, ranS, job.spec.estimateS);
+        if (ranS > 0) this.estimates.learner.ran(job.spec.className, ranS, job.spec.estimateS);
         this.r.attempts.done(job, a.task);
         return;
       case "error":
@@ -292,7 +292,7 @@
       const { spec } = a.job;
       const leftS = ((m.takenAtMs ?? now) - now) / 1000;
       const ranS = a.runningMs === null ? 0 : (now - a.runningMs) / 1000;
-      const needS = this.lore.learner.expectedS(spec.className, spec.estimateS) - ranS;
+      const needS = this.estimates.learner.expectedS(spec.className, spec.estimateS) - ranS;
       if (spec.kind === "array" && spec.checkpointS === 0 && a.phase === "running" && needS < leftS * 0.6)
         continue;
       this.r.attempts.stopOrderly(a);
@@ -386,7 +386,7 @@
       if (now - m.lastHeardMs > operator.suspectS * 1000) s.silent++;
       servers.set(m.server ?? "", s);
     }
-    this.lore.spotRan(spotUp, now);
+    this.estimates.spotRan(spotUp, now);
     for (const m of [...this.r.machines.values()]) {
       if (m.state === "leaving") continue;
       if (m.cordoned && now > m.cordonUntilMs) m.cordoned = false;
--- a/src/service.ts
+++ b/src/service.ts
@@ -5,11 +5,11 @@
 import { StateClient } from "./bookkeeping/stateClient.js";
 import { Admission } from "./coordination/admission.js";
 import { CloudDesk } from "./coordination/cloudDesk.js";
-import { Conductor } from "./coordination/conductor.js";
-import { Courier } from "./coordination/courier.js";
+import { Leader } from "./coordination/leader.js";
+import { CommandSender } from "./coordination/commandSender.js";
 import { Dispatch } from "./coordination/dispatch.js";
 import { Elector } from "./coordination/election.js";
-import { Gate } from "./coordination/gate.js";
+import { ReportServer } from "./coordination/reportServer.js";
 import { parseJson } from "./protocol/checks.js";
 import { decodeTypes } from "./protocol/cloud.js";
 import { decodePeer, encodePeer, PEER_VERSION, type PeerMessage } from "./protocol/peers.js";
@@ -55,10 +55,10 @@
 export class Controller {
   readonly state: StateClient;
   readonly elector: Elector;
-  readonly conductor: Conductor;
+  readonly leader: Leader;
   readonly admission: Admission;
   private readonly cloud: CloudDesk;
-  private readonly gate: Gate;
+  private readonly reportServer: ReportServer;
   private readonly dispatch: Dispatch;
   private readonly lag: LagMeter;
   private typesKnown = false;
@@ -92,21 +92,21 @@
       clock,
       teams: platform.teams,
       valueBytes: platform.stateValueKb * 1024,
-      onCancelTold: (id, at) => this.gate.tell({ kind: "cancel told", id, at }),
+      onCancelTold: (id, at) => this.reportServer.tell({ kind: "cancel told", id, at }),
     });
     this.cloud = new CloudDesk(out.cloud, clock, platform.cloud, platform.cloudRps, (news) =>
-      this.conductor.tell({ kind: "cloud", news }),
+      this.leader.tell({ kind: "cloud", news }),
     );
     this.dispatch = new Dispatch(
       platform.node,
       clock,
-      new Courier(out.workers, DIRECT_MS),
+      new CommandSender(out.workers, DIRECT_MS),
       send,
-      (term, result) => this.conductor.tell({ kind: "errand", term, result }),
+      (term, result) => this.leader.tell({ kind: "errand", term, result }),
     );
     const others = platform.peers.map((p) => p.name);
     const lagMs = (): number => this.lag.lagMs;
-    this.conductor = new Conductor({
+    this.leader = new Leader({
       platform,
       operator,
       state: this.state,
@@ -114,9 +114,9 @@
       cloud: this.cloud,
       errand: (term, via, errand) => this.dispatch.errand(term, via, errand),
       sendGrant: send,
-      onHomes: (homes) => this.gate.tell({ kind: "homes", homes }),
-      onAckLimits: (limits) => this.gate.tell({ kind: "ack limits", limits }),
-      served: () => this.gate.served,
+      onHomes: (homes) => this.reportServer.tell({ kind: "homes", homes }),
+      onAckLimits: (limits) => this.reportServer.tell({ kind: "ack limits", limits }),
+      served: () => this.reportServer.served,
       lagMs,
       onDeposed: (term) => this.elector.tell({ kind: "deposed", term }),
       onBehind: (term) => this.elector.tell({ kind: "behind", term }),
@@ -129,7 +129,7 @@
         for (const peer of others) send(peer, { kind: "tally", from: platform.node, term, jobs });
       },
     });
-    this.gate = new Gate({
+    this.reportServer = new ReportServer({
       node: platform.node,
       zone: platform.zone,
       zones: new Map([
@@ -142,7 +142,7 @@
       keepToldMs: (platform.cancelS + platform.leaseS + 10) * 1000,
       toLeader: send,
       toNeighbour: send,
-      toConductor: (serving) => this.conductor.tell({ kind: "serving", serving }),
+      toLeaderHere: (serving) => this.leader.tell({ kind: "serving", serving }),
       onLaterTerm: (term) => this.elector.tell({ kind: "deposed", term }),
       lagMs,
     });
@@ -157,9 +157,9 @@
       ttlMs: HOLD_MS,
       probeMs: PROBE_MS,
       onNews: (news) => {
-        // The conductor first: the gate tells it of its workers at once.
-        this.conductor.tell({ kind: "election", news });
-        this.gate.tell({ kind: "election", news });
+        // The leader first: the report server tells it of its workers at once.
+        this.leader.tell({ kind: "election", news });
+        this.reportServer.tell({ kind: "election", news });
       },
     });
   }
@@ -167,8 +167,8 @@
   start(): void {
     this.lag.start();
     this.elector.start();
-    this.conductor.start();
-    this.gate.start();
+    this.leader.start();
+    this.reportServer.start();
     this.learnTypes(0);
   }
 
@@ -176,8 +176,8 @@
     this.stopped = true;
     this.lag.stop();
     this.elector.stop();
-    this.conductor.stop();
-    this.gate.stop();
+    this.leader.stop();
+    this.reportServer.stop();
     this.cloud.tell({ kind: "stop" });
   }
 
@@ -187,7 +187,7 @@
     void this.state.get(keys.types, this.out.clock.nowMs() + 2000).then((got) => {
       const types = got.kind === "found" ? decodeTypes(got.item.value) : null;
       if (types && types.length > 0)
-        this.conductor.tell({ kind: "cloud", news: { kind: "types", types, stored: true } });
+        this.leader.tell({ kind: "cloud", news: { kind: "types", types, stored: true } });
       else this.out.clock.after(Math.min(1000, 200 + round * 100), () => this.learnTypes(round + 1));
     });
   }
@@ -220,21 +220,21 @@
         this.admission.tell({ kind: "tally", jobs: message.jobs });
         break;
       case "serving":
-        this.conductor.tell({ kind: "serving", serving: message });
+        this.leader.tell({ kind: "serving", serving: message });
         break;
       case "grant":
         if (message.served) this.leaderServedMs = this.out.clock.nowMs();
-        this.gate.tell({ kind: "grant", grant: message });
+        this.reportServer.tell({ kind: "grant", grant: message });
         break;
       case "alone":
-        this.gate.tell({ kind: "alone", from: message.from, term: message.term });
+        this.reportServer.tell({ kind: "alone", from: message.from, term: message.term });
         break;
       case "errands":
         this.dispatch.asked(message.from, message.term, message.errands);
         break;
       case "errands back":
         for (const result of message.results)
-          this.conductor.tell({ kind: "errand", term: message.term, result });
+          this.leader.tell({ kind: "errand", term: message.term, result });
         break;
       default:
         this.elector.tell({ kind: "peer", message });
@@ -270,7 +270,7 @@
           reply({ status: 400, body: { error: "not a report" } });
           return;
         }
-        this.gate.tell({ kind: "report", report, reply });
+        this.reportServer.tell({ kind: "report", report, reply });
         return;
       }
       case "ready":
--- a/test/fences.test.ts
+++ b/test/fences.test.ts
@@ -7,7 +7,7 @@
 import { ToldCancels } from "../src/coordination/toldCancels.js";
 import type { JobSpec } from "../src/protocol/model.js";
 import type { Serving } from "../src/protocol/peers.js";
-import { whereTo } from "../src/coordination/gate.js";
+import { whereTo } from "../src/coordination/reportServer.js";
 import { Servers } from "../src/coordination/servers.js";
 import {
   absenceProves,
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import * as net from "node:net";
 import test from "node:test";
-import { isLateCopy, saysTheSame } from "../src/coordination/gate.js";
+import { isLateCopy, saysTheSame } from "../src/coordination/reportServer.js";
 import type { Report } from "../src/protocol/model.js";
 import { encodePeer, PEER_VERSION, type PeerMessage } from "../src/protocol/peers.js";
 import { systemClock } from "../src/transport/clock.js";
