--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -97,6 +97,33 @@
   assert.equal(w.live("job-000001").length, 6);
 });
 
+/** It answers commands, so starts would succeed there, and die with the lease that no report renews. */
+test("a machine whose reports reach no controller gets no new work, though commands reach it", async () => {
+  const w = new World(24, { size: 5, capacity: 6 });
+  await w.run(3);
+  const accel = { crew: "two", spores: 1, cores: 0.25, breeds: ["accel"], memoryGb: 1, windfall: false };
+  w.submit({ ref: "job-000001", ...accel }, 3);
+  await w.run(12);
+  const [ref] = [...w.workers].find(([, x]) => x.tuft.breed === "accel")!;
+  const begun: string[] = [];
+  w.onTaskStart = (on, task) => {
+    if (on.tuft.ref === ref) begun.push(task.spore);
+  };
+  w.ignoreReports(ref, 60_000);
+  // Work for this kind of machine alone keeps coming, so that commands keep going there and their answers coming back.
+  const late = [];
+  for (let i = 0; i < 40; i++) {
+    late.push(w.submit({ ref: `job-0001${String(i).padStart(2, "0")}`, ...accel }, 1));
+    await w.run(0.5);
+    // So long it may have been heard before its reports stopped.
+    if (i === 12) begun.length = 0;
+  }
+  assert.deepEqual(begun, [], "nothing began there");
+  await w.run(20);
+  for (const j of late) assert.ok(j.done.size === 1, `${j.spec.ref} done`);
+  assert.deepEqual(w.broken, []);
+});
+
 function type(name: string, cpus: number): MachineType {
   return {
     name,
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -460,6 +460,8 @@
 
   /** Sees each task that ends, before anybody is told. */
   onTaskEnd: (job: SimJob, task: SimTask) => void = () => undefined;
+  /** Sees each task that starts. */
+  onTaskStart: (w: SimWorker, task: SimTask) => void = () => undefined;
   /** Counts submissions that must be refused. */
   oddRefs = 0;
 
@@ -533,6 +535,7 @@
 
   private onStart(w: SimWorker, task: SimTask): void {
     this.started++;
+    this.onTaskStart(w, task);
     const ref = task.spore.split("/")[0]!;
     const job = this.jobs.get(ref);
     if (!job) {
