--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -20,6 +20,16 @@
   patch: string;
   windfall: boolean;
   bornMs: number;
+  /** Its worker has started. */
+  up: boolean;
+}
+
+/** How machines come up that are rented while it lasts. */
+export interface BootTrouble {
+  /** Times the type's boot time. */
+  factor: number;
+  /** Share of the machines that never come up. */
+  neverShare: number;
 }
 
 /** The cloud by its published protocol: named requests, lagging lists, capacity, outages. */
@@ -28,6 +38,7 @@
   private readonly pleas = new Map<string, string[]>();
   private next = 0;
   private outageUntilMs = -Infinity;
+  private bootTrouble: (BootTrouble & { untilMs: number }) | null = null;
   capacity = 12;
 
   constructor(
@@ -38,6 +49,7 @@
     private readonly lagMs: number,
     private readonly onBoot: (t: SimTuft) => void,
     private readonly onGone: (t: SimTuft) => void,
+    private readonly random: () => number,
   ) {
     net.listen(address, (q, answer) => answer(this.serve(q)));
   }
@@ -46,6 +58,11 @@
     this.outageUntilMs = this.clock.nowMs() + forMs;
   }
 
+  /** Machines that are rented from now on come up late, at once or never. */
+  troubleBoots(trouble: BootTrouble, forMs: number): void {
+    this.bootTrouble = { ...trouble, untilMs: this.clock.nowMs() + forMs };
+  }
+
   /** The machine is lost without a word. */
   take(ref: string): void {
     const t = this.tufts.get(ref);
@@ -72,7 +89,11 @@
     const after = url.searchParams.get("after") ?? "";
     const tufts = [...this.tufts.values()]
       .filter((t) => t.ref > after && this.clock.nowMs() - t.bornMs > this.lagMs)
-      .map((t) => ({ ...t, phase: "running", ageS: (this.clock.nowMs() - t.bornMs) / 1000 }));
+      .map((t) => ({
+        ...t,
+        phase: t.up ? "running" : "starting",
+        ageS: (this.clock.nowMs() - t.bornMs) / 1000,
+      }));
     return { status: 200, body: { tufts, more: false } };
   }
 
@@ -90,16 +111,26 @@
         patch: String(body.patch),
         windfall: body.windfall === true,
         bornMs: this.clock.nowMs(),
+        up: false,
       };
       this.tufts.set(t.ref, t);
       names.push(t.ref);
-      const boot = (this.types.find((x) => x.name === t.breed)?.bootS ?? 5) * 1000;
-      this.clock.after(boot, () => {
-        if (this.tufts.has(t.ref)) this.onBoot(t);
-      });
+      this.bootLater(t);
     }
     if (names.length === 0) return { status: 503, body: { error: "no capacity" } };
     this.pleas.set(plea, names);
     return { status: 200, body: { tufts: names } };
   }
+
+  private bootLater(t: SimTuft): void {
+    const bootMs = (this.types.find((x) => x.name === t.breed)?.bootS ?? 5) * 1000;
+    const now = this.clock.nowMs();
+    const trouble = this.bootTrouble !== null && now < this.bootTrouble.untilMs ? this.bootTrouble : null;
+    if (trouble && this.random() < trouble.neverShare) return;
+    this.clock.after(bootMs * (trouble?.factor ?? 1), () => {
+      if (!this.tufts.has(t.ref)) return;
+      t.up = true;
+      this.onBoot(t);
+    });
+  }
 }
--- a/test/standins/day.ts
+++ b/test/standins/day.ts
@@ -28,6 +28,8 @@
   await w.mixedWork(40);
   // What was to outlive the troubles is called off only now.
   await w.run(Math.max(25, lastS));
+  // Some troubles last longer than the others.
+  await w.run(Math.max(0, w.calmFromMs - w.clock.nowMs()) / 1000);
   for (const job of w.jobs.values()) if (job.runS === null && job.accepted && !job.cancelAsked) w.cancel(job);
   await w.run(85);
   assert.deepEqual(w.broken, []);
--- a/test/standins/drawnDay.ts
+++ b/test/standins/drawnDay.ts
@@ -26,6 +26,8 @@
   w.calmFromMs = w.clock.nowMs() + 110_000;
   await w.mixedWork(60);
   await w.run(50);
+  // Some troubles last longer than the others.
+  await w.run(Math.max(0, w.calmFromMs - w.clock.nowMs()) / 1000);
   // Whoever is still there has been left to run: its users call it off now.
   for (const job of w.jobs.values()) if (job.runS === null && job.accepted && !job.cancelAsked) w.cancel(job);
   await w.run(115);
--- a/test/standins/troubles.ts
+++ b/test/standins/troubles.ts
@@ -1,6 +1,10 @@
+import type { BootTrouble } from "./cloud.js";
 import type { SimWorker } from "./worker.js";
 import type { SimJob, World } from "./world.js";
 
+/** Users of the stand-in world ask about a job this often. */
+const POLL_EVERY_MS = 2500;
+
 /** One trouble, brought about at the moment of the call. */
 export type Trouble = (w: World) => void;
 
@@ -141,6 +145,56 @@
   };
 }
 
+/** Stands still for a minute or more and goes on as it was, with its old term and all that came in meanwhile. */
+export function silence(w: World, node: string, forMs: number): void {
+  w.troubledFor(forMs);
+  w.freeze(node, forMs);
+}
+
+/** Users ask about each unfinished job that many times as often as they use to. */
+export function floodOfQuestions(w: World, factor: number, forMs: number): void {
+  const untilMs = w.clock.nowMs() + forMs;
+  const next = (): void => {
+    if (w.clock.nowMs() > untilMs) return;
+    w.clock.after(POLL_EVERY_MS / factor, next);
+    for (const job of w.jobs.values()) if (job.accepted && job.told === null) w.question(job);
+  };
+  next();
+}
+
+/** Jobs that fail on every machine until their users cancel them, once the time is over. */
+export function mistakes(w: World, count: number, cancelledAfterMs: number): void {
+  const forms = [
+    { form: "array", spores: 8, cores: 1, rank: "high" },
+    { form: "standing", spores: 2, cores: 1, rank: "prod" },
+    { form: "ensemble", spores: 2, cores: 1, gpus: 1, rank: "high", together: true },
+  ];
+  const failing = new Set<string>();
+  const before = w.failing;
+  w.failing = (spore) => failing.has(spore.split("/")[0]!) || before(spore);
+  for (let i = 0; i < count; i++) {
+    const ref = `job-6${String(w.oddRefs++).padStart(5, "0")}`;
+    failing.add(ref);
+    const form = forms[i % forms.length]!;
+    const job = w.submit({ ref, crew: i % 2 ? "one" : "two", memoryGb: 1, ...form }, 5);
+    w.clock.after(cancelledAfterMs, () => w.cancel(job));
+  }
+}
+
+/** So many machines fail every task that they start. */
+export function faultyMachines(w: World, count: number, forMs: number): void {
+  const names = [...w.workers.keys()].slice(0, count);
+  for (const name of names) w.faultyMachines.add(name);
+  w.clock.after(forMs, () => names.forEach((name) => w.faultyMachines.delete(name)));
+}
+
+/** Some machines are lost, and those rented in their place are in trouble as they boot. */
+export function troubledBoots(w: World, lost: number, trouble: BootTrouble, forMs: number): void {
+  w.troubledFor(forMs);
+  w.cloud.troubleBoots(trouble, forMs);
+  for (let i = 0; i < lost; i++) w.cloud.take(anyWorker(w)?.tuft.ref ?? "");
+}
+
 const GOOD = {
   strain: "s",
   crew: "one",
@@ -266,6 +320,29 @@
     { name: "cancellations, machines hang", play: (w) => cancelRunning(w, some(w, 8), upTo(w, 12_000)) },
     { name: "requests meet the end", play: (w) => meetTheEnd(w, 0.6, 25_000) },
     { name: "odd requests", play: (w) => oddRequests(w, 20_000) },
+    {
+      name: "leader silent for a minute or more",
+      play: (w) => silence(w, leaderName(w), 60_000 + w.random() * 60_000),
+    },
+    {
+      name: "a controller silent for a minute or more",
+      play: (w) => silence(w, anyNode(w), 60_000 + w.random() * 60_000),
+    },
+    { name: "flood of questions", play: (w) => floodOfQuestions(w, 8, upTo(w, 30_000)) },
+    { name: "jobs with a mistake", play: (w) => mistakes(w, some(w, 5), upTo(w, 30_000)) },
+    { name: "faulty machines", play: (w) => faultyMachines(w, some(w, 3), upTo(w, 30_000)) },
+    {
+      name: "boots late",
+      play: (w) => troubledBoots(w, some(w, 5), { factor: 4, neverShare: 0 }, upTo(w, 40_000)),
+    },
+    {
+      name: "boots that never come",
+      play: (w) => troubledBoots(w, some(w, 5), { factor: 1, neverShare: 0.6 }, upTo(w, 40_000)),
+    },
+    {
+      name: "boots at once",
+      play: (w) => troubledBoots(w, some(w, 5), { factor: 0.1, neverShare: 0 }, upTo(w, 40_000)),
+    },
   ] satisfies { name: string; play: (w: World) => void }[];
 })();
 
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -78,6 +78,10 @@
 
 /** A job about which no question is answered for so long is forgotten. */
 const FORGOTTEN_MS = 75_000;
+/** After a trouble's end, this much is allowed until everything is as before. */
+const SETTLE_MS = 10_000;
+/** Three times the longest boot, half a minute, and time for the list and the deletion. */
+const NEVER_UP_MS = 60_000;
 
 export function platformOf(name: string, nodes: string[], limits = LIMITS, zones: string[] = []): Platform {
   const zoneOf = (node: string): string => zones[nodes.indexOf(node)] ?? "a";
@@ -161,7 +165,14 @@
 
   /** From here on nothing goes wrong any more. */
   calmFromMs = 0;
+
+  /** A trouble that may last beyond the others: calm comes no sooner than a while after it. */
+  troubledFor(forMs: number): void {
+    this.calmFromMs = Math.max(this.calmFromMs, this.clock.nowMs() + forMs + SETTLE_MS);
+  }
   private readonly unanswered = new Map<string, number>();
+  /** Machines that were paid for long past their boot, and said so once. */
+  private readonly lingering = new Set<string>();
 
   constructor(
     seed: number,
@@ -212,6 +223,7 @@
         this.workers.get(t.ref)?.kill();
         this.workers.delete(t.ref);
       },
+      this.random,
     );
     this.cloud.capacity = options.capacity ?? 12;
     for (const name of this.names) this.boot(name);
@@ -626,6 +638,7 @@
     this.clock.after(3000, () => this.watchWaiting());
     const now = this.clock.nowMs();
     if (now < this.calmFromMs) return;
+    this.watchBoots(now);
     const free = new Map<SimWorker, { cores: number; gpus: number; memoryGb: number }>();
     const used = { one: { cores: 0, gpus: 0 }, two: { cores: 0, gpus: 0 } };
     for (const w of this.workers.values()) {
@@ -658,6 +671,16 @@
     }
   }
 
+  /** Troubles over, what never came up is not paid for any longer. */
+  private watchBoots(now: number): void {
+    for (const t of this.cloud.tufts.values()) {
+      if (t.up || this.lingering.has(t.ref)) continue;
+      if (now - Math.max(t.bornMs, this.calmFromMs) < NEVER_UP_MS) continue;
+      this.lingering.add(t.ref);
+      this.broken.push(`paid for nothing ${t.ref}: never up since ${t.bornMs}`);
+    }
+  }
+
   private hasRoom(
     spec: SimJob["spec"],
     tasks: number,
