--- a/src/bookkeeping/usage.ts
+++ b/src/bookkeeping/usage.ts
@@ -3,16 +3,22 @@
 
 const SLACK = 1e-6;
 
+/** What of a team's limit something takes. */
+export interface TeamAmount {
+  cpus: number;
+  gpus: number;
+}
+
 /** What each team's tasks may be using: everything planned and not yet proved gone (rule `quota`). */
 export class Usage {
-  private readonly used = new Map<string, { cpus: number; gpus: number }>();
+  private readonly used = new Map<string, TeamAmount>();
   readonly teams: Map<string, Team>;
 
   constructor(teams: Team[]) {
     this.teams = new Map(teams.map((t) => [t.name, t]));
   }
 
-  of(team: string): { cpus: number; gpus: number } {
+  of(team: string): TeamAmount {
     let used = this.used.get(team);
     if (!used) {
       used = { cpus: 0, gpus: 0 };
@@ -28,11 +34,15 @@
   }
 
   /** How many more tasks of this kind the team's limit allows, with what a plan takes already. */
-  room(spec: JobSpec, planned = { cpus: 0, gpus: 0 }): number {
+  room(spec: JobSpec, planned: TeamAmount = { cpus: 0, gpus: 0 }): number {
+    const held = this.of(spec.team);
+    return this.fitting(spec, { cpus: held.cpus + planned.cpus, gpus: held.gpus + planned.gpus });
+  }
+
+  /** How many tasks of this kind the team's limit allows beside that. */
+  fitting(spec: JobSpec, used: TeamAmount): number {
     const team = this.teams.get(spec.team);
     if (!team) return 0;
-    const held = this.of(spec.team);
-    const used = { cpus: held.cpus + planned.cpus, gpus: held.gpus + planned.gpus };
     const cpus = spec.cpus > 0 ? Math.floor((team.cpusMax - used.cpus + SLACK) / spec.cpus) : Infinity;
     const gpus = spec.gpus > 0 ? Math.floor((team.gpusMax - used.gpus + SLACK) / spec.gpus) : Infinity;
     return Math.max(0, Math.min(cpus, gpus));
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -68,6 +68,9 @@
 /** Seconds of a start that one more place left in a zone is worth to a gang that comes after. */
 const SPARE_S = 0.2;
 
+/** A gang whose team is at its limit should begin within this: what is over sooner may use its room. */
+const QUOTA_WAIT_S = 5;
+
 /** A machine that holds more of a service's tasks than this is a large one to it. */
 const ROOMY = 16;
 
@@ -201,13 +204,16 @@
       const m = this.byName.get(h.machine);
       if (m?.held?.jobId === spec.id) this.letGo(m);
     }
-    let want = Math.min(job.pending, job.limit, quota.room(spec));
-    if (want <= 0) return;
+    const wanted = Math.min(job.pending, job.limit);
+    const allowed = quota.room(spec);
     if (spec.kind === "gang") {
-      if (job.pending < spec.tasks || want < spec.tasks) return;
-      this.gang(job);
+      if (wanted < spec.tasks || quota.attainable(spec) < spec.tasks) return;
+      this.gang(job, allowed);
       return;
     }
+    if (wanted > allowed) this.claimQuota(job, wanted, allowed);
+    let want = Math.min(wanted, allowed);
+    if (want <= 0) return;
     // Room where its image lies, even if lesser work has to make it, comes before waiting for a fetch elsewhere.
     const quick = job.quickS;
     if (quick !== null) want -= this.put(job, this.choose(job, want, quick));
@@ -218,6 +224,61 @@
     if (want > 0) this.plan.unplaced.push({ job, tasks: want, zone: null });
   }
 
+  /**
+   * The team is at its limit. Whatever of it comes free is for this job before those that are served after it: taken piece
+   * by piece by small tasks, it would never be enough for a large one (docs/incidents/inc-809f.md).
+   */
+  private claimQuota(job: JobView, wanted: number, allowed: number): void {
+    const { spec } = job;
+    const { quota } = this.i;
+    if (quota.attainable(spec) < 1) return;
+    this.stopForQuota(job, wanted - quota.roomWhenStopped(spec));
+    if (allowed === 0) quota.take(spec, 1);
+  }
+
+  /** Stops lesser work of the job's own team, so that this many more of its tasks come under the team's limit. */
+  private stopForQuota(job: JobView, tasks: number): void {
+    const { spec } = job;
+    if (tasks <= 0 || job.quickS === null || this.makers >= this.i.maxMakers || !this.i.mayStop(job)) return;
+    const shape = `quota ${spec.team} ${spec.priority}`;
+    if (this.barren.has(shape)) return;
+    this.makers++;
+    this.plan.looked += this.i.machines.length;
+    const now = this.i.nowMs;
+    const options: { m: MachineView; victim: VictimView; lossS: number }[] = [];
+    for (const m of this.i.machines) {
+      for (const victim of m.victims()) {
+        if (victim.team !== spec.team || victim.priority >= spec.priority) continue;
+        const lossS = victim.lossS(now);
+        if (lossS < Infinity) options.push({ m, victim, lossS });
+      }
+    }
+    if (options.length === 0) this.barren.add(shape);
+    options.sort((a, b) => a.victim.priority - b.victim.priority || a.lossS - b.lossS);
+    const missing: Amount = { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks, memoryGb: 0 };
+    for (const { m, victim } of options) {
+      if (missing.cpus <= 1e-6 && missing.gpus <= 1e-6) break;
+      if (this.plan.evictions.length >= this.i.maxEvictions) break;
+      const helps = (missing.cpus > 1e-6 && victim.cpus > 0) || (missing.gpus > 1e-6 && victim.gpus > 0);
+      if (!helps) continue;
+      missing.cpus -= victim.cpus;
+      missing.gpus -= victim.gpus;
+      const left = m.victims().filter((v) => v !== victim);
+      m.victims = () => left;
+      addTo(m.leaving, victim);
+      this.plan.touched.add(m);
+      this.plan.evictions.push({ ref: victim.ref, jobId: spec.id });
+    }
+  }
+
+  /** There is room for the gang, but not yet under its team's limit: both are kept for it. */
+  private awaitQuota(job: JobView, chosen: Chosen[]): void {
+    const { spec } = job;
+    this.stopForQuota(job, spec.tasks - this.i.quota.roomWhenStopped(spec));
+    for (const p of chosen) this.hold(job, p.machine, p.tasks, QUOTA_WAIT_S);
+    this.i.quota.take(spec, spec.tasks);
+  }
+
   /** Plans the starts; returns how many. */
   private put(job: JobView, chosen: Chosen[]): number {
     const { spec } = job;
@@ -273,9 +334,10 @@
    * A gang starts whole or not at all, in one zone where it must be. What is there is kept for it while the rest is on
    * its way, or once it has waited long: otherwise smaller work would take every machine that comes free, for ever.
    */
-  private gang(job: JobView): void {
+  private gang(job: JobView, allowed: number): void {
     const { spec } = job;
     const want = spec.tasks;
+    const underLimit = allowed >= want;
     const zones = spec.oneZone ? this.zonesOf(spec) : [null];
     let best: { zone: string | null; chosen: Chosen[]; price: number } | null = null;
     let most: { zone: string | null; have: number; soon: number; score: number } | null = null;
@@ -294,10 +356,11 @@
       if (!most || score > most.score) most = { zone, have, soon, score };
     }
     if (best) {
-      this.put(job, best.chosen);
+      if (underLimit) this.put(job, best.chosen);
+      else this.awaitQuota(job, best.chosen);
       return;
     }
-    if (this.makeRoom(job, want, Infinity) >= want) return;
+    if (underLimit && this.makeRoom(job, want, Infinity) >= want) return;
     if (!most) {
       this.plan.unplaced.push({ job, tasks: want, zone: null });
       return;
@@ -305,7 +368,7 @@
     const { zone, have, soon } = most;
     const whole = have + soon >= want;
     this.takeComing(job, want - have, zone);
-    if (have > 0 && (whole || job.aged)) {
+    if (underLimit && have > 0 && (whole || job.aged)) {
       const etaS = whole ? 20 : this.etaS(job, want - have, zone);
       for (const p of this.choose(job, want, Infinity, zone)) this.hold(job, p.machine, p.tasks, etaS);
       // Its quota is spoken for, too.
--- a/src/coordination/placer.ts
+++ b/src/coordination/placer.ts
@@ -6,6 +6,7 @@
 import { looksMistaken } from "./faults.js";
 import type { Estimates } from "./estimates.js";
 import { place, type Hold, type PlacementPlan } from "./placement.js";
+import { quotaView } from "./quotaView.js";
 import { BEGIN_TASKS, serveOrder, wishedS, withinGuarantee, type QueueEntry } from "./queue.js";
 import type { LeaderTerm } from "./leaderTerm.js";
 import { emptyView, type JobView, type MachineView, type VictimView } from "./views.js";
@@ -108,21 +109,12 @@
       lowest = Math.min(lowest, job.spec.priority);
       borrowing ||= !guaranteed.has(job);
     }
-    const budget = new Map<string, { cpus: number; gpus: number }>();
     const plan = place({
       jobs: inOrder.map((e) => this.jobView(e, now)),
       machines,
       coming,
       holds: this.holds.filter((h) => h.untilMs > now),
-      quota: {
-        room: (spec) => r.usage.room(spec, budget.get(spec.team)),
-        take: (spec, tasks) => {
-          const extra = budget.get(spec.team) ?? { cpus: 0, gpus: 0 };
-          extra.cpus += spec.cpus * tasks;
-          extra.gpus += spec.gpus * tasks;
-          budget.set(spec.team, extra);
-        },
-      },
+      quota: quotaView(r.usage, r.jobs),
       maxEvictions: 40,
       maxMakers: 8,
       mayStop: (j) => lowest < j.spec.priority || (j.guaranteed && borrowing),
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -98,6 +98,10 @@
 export interface QuotaView {
   /** Tasks of this job's shape that the team may still start. */
   room(spec: JobSpec): number;
+  /** Tasks of this job's shape that fit once the team's tasks that are being stopped are gone. */
+  roomWhenStopped(spec: JobSpec): number;
+  /** Tasks of this job's shape that fit once all the team's work is gone that ends by itself or may be stopped for it. */
+  attainable(spec: JobSpec): number;
   take(spec: JobSpec, tasks: number): void;
 }
 
--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -39,6 +39,38 @@
   assert.equal(big.told, "done");
 });
 
+/**
+ * At the team's limit, small tasks took what came free piece by piece, so a task of five times their size waited until they
+ * had all gone (docs/incidents/inc-809f.md).
+ */
+for (const [rank, withinS] of [
+  ["high", 16],
+  ["standard", 40],
+] as const) {
+  test(`at its team's limit a large gang (${rank}) gets what small tasks of the team leave`, async () => {
+    const w = new World(25, { size: 3, capacity: 60 });
+    await w.run(3);
+    let n = 0;
+    const small = (): void => {
+      w.submit({ ref: `job-1${String(n++).padStart(5, "0")}`, spores: 12, cores: 2, memoryGb: 2 }, 5);
+    };
+    for (let i = 0; i < 6; i++) small();
+    await w.run(15);
+    const gang = { form: "ensemble", spores: 1, cores: 10, memoryGb: 8, rank, together: true };
+    const large = [0, 1, 2].map((i) => w.submit({ ref: `job-00000${i}`, ...gang }, 8));
+    for (let s = 0; s < 60; s++) {
+      if (s % 2) small();
+      await w.run(1);
+    }
+    const waitedS = large.map((j) => Math.round(((j.beganMs ?? Infinity) - j.askedMs) / 1000));
+    // A machine has to boot; two of them fit under the limit, the third follows.
+    assert.ok(Math.max(...waitedS) < withinS, `begun after ${waitedS.join(", ")} s`);
+    const begun = [...w.jobs.values()].filter((j) => j.beganMs !== null).length;
+    assert.ok(begun > 8, `${begun} jobs begun: the small ones go on`);
+    assert.deepEqual(w.broken, []);
+  });
+}
+
 test("an array of 300 tasks begins though smaller ones with nearer deadlines never end", async () => {
   const w = new World(22, { size: 5, capacity: 10, limits: ROOMY });
   await w.run(3);
@@ -183,7 +215,12 @@
     machines,
     coming: [],
     holds,
-    quota: { room: () => Infinity, take: () => undefined },
+    quota: {
+      room: () => Infinity,
+      roomWhenStopped: () => Infinity,
+      attainable: () => Infinity,
+      take: () => undefined,
+    },
     maxEvictions: 40,
     maxMakers: 8,
     mayStop: () => false,
