--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -20,7 +20,7 @@
   phase: "fetching" | "waiting" | "running" | "saving" | null;
   plannedMs: number;
   runningMs: number | null;
-  /** Wish to have it stopped. */
+  /** Set once it is to be stopped. */
   stop: { sinceMs: number; graceS: number; sent: boolean; lastSentMs: number } | null;
 }
 
@@ -197,11 +197,11 @@
 export function chunkRecord(chunk: Chunk): ChunkRecord {
   return {
     done: chunk.done,
-    attempts: [...chunk.attempts.values()].map((a) => ({
-      task: a.task,
-      attempt: a.attempt,
-      machine: a.machine.name,
-      zone: a.machine.zone,
+    attempts: [...chunk.attempts.values()].map((attempt) => ({
+      task: attempt.task,
+      attempt: attempt.attempt,
+      machine: attempt.machine.name,
+      zone: attempt.machine.zone,
     })),
   };
 }
--- a/src/bookkeeping/ledger.ts
+++ b/src/bookkeeping/ledger.ts
@@ -45,7 +45,7 @@
   termVersion: number,
   limits: LedgerLimits,
 ): Transaction {
-  const t: Transaction = {
+  const transaction: Transaction = {
     guards: [{ key: keys.term, version: termVersion }],
     changes: [],
     parts: [],
@@ -53,19 +53,20 @@
   };
   let bytes = 256;
   const fits = (changes: number, size: number): boolean =>
-    t.changes.length + changes <= limits.changes &&
+    transaction.changes.length + changes <= limits.changes &&
     bytes + size <= limits.bytes &&
-    t.guards.length + 2 + changes <= limits.changes * 4;
+    transaction.guards.length + 2 + changes <= limits.changes * 4;
 
   const addChunk = (job: Job, chunk: Chunk): boolean => {
     const value = encodeChunk(chunkRecord(chunk));
     const size = JSON.stringify(value).length + 200;
     if (!fits(1, size)) return false;
     const head = keys.head(job.id);
-    if (!t.guards.some((g) => g.key === head)) t.guards.push({ key: head, version: job.headVersion });
-    t.guards.push({ key: keys.chunk(job.id, chunk.index), version: chunk.version });
-    t.changes.push({ put: keys.chunk(job.id, chunk.index), value });
-    t.parts.push({ job, chunk, attempts: [...chunk.attempts.values()], done: chunk.done.slice() });
+    if (!transaction.guards.some((g) => g.key === head))
+      transaction.guards.push({ key: head, version: job.headVersion });
+    transaction.guards.push({ key: keys.chunk(job.id, chunk.index), version: chunk.version });
+    transaction.changes.push({ put: keys.chunk(job.id, chunk.index), value });
+    transaction.parts.push({ job, chunk, attempts: [...chunk.attempts.values()], done: chunk.done.slice() });
     bytes += size;
     return true;
   };
@@ -90,27 +91,27 @@
     // Few chunks go in the same transaction; those of a huge job are swept up afterwards.
     const now = written.length <= 4 ? written : [];
     if (!fits(2 + now.length, 400)) break;
-    t.guards.push(
+    transaction.guards.push(
       { key: keys.head(job.id), version: job.headVersion },
       { key: keys.final(job.id), version: 0 },
     );
-    t.changes.push(
+    transaction.changes.push(
       { put: keys.final(job.id), value: encodeFinal({ cancelled: job.cancelled, tasks: job.spec.tasks }) },
       { drop: keys.head(job.id) },
     );
     for (const chunk of now) {
-      t.guards.push({ key: keys.chunk(job.id, chunk.index), version: chunk.version });
-      t.changes.push({ drop: keys.chunk(job.id, chunk.index) });
+      transaction.guards.push({ key: keys.chunk(job.id, chunk.index), version: chunk.version });
+      transaction.changes.push({ drop: keys.chunk(job.id, chunk.index) });
     }
-    t.parts.push({ job, chunk: null, attempts: [], done: null });
+    transaction.parts.push({ job, chunk: null, attempts: [], done: null });
     bytes += 400 + now.length * 120;
   }
   for (const [job, chunk] of lazy.slice(0, limits.lazy)) if (!addChunk(job, chunk)) break;
   for (const [key, version] of garbage) {
-    if (t.changes.length >= Math.max(1, limits.changes >> 1) || !fits(1, 120)) break;
-    t.guards.push({ key, version });
-    t.changes.push({ drop: key });
-    t.garbage.push(key);
+    if (transaction.changes.length >= Math.max(1, limits.changes >> 1) || !fits(1, 120)) break;
+    transaction.guards.push({ key, version });
+    transaction.changes.push({ drop: key });
+    transaction.garbage.push(key);
   }
-  return t;
+  return transaction;
 }
--- a/src/bookkeeping/stateClient.ts
+++ b/src/bookkeeping/stateClient.ts
@@ -1,4 +1,4 @@
-import { Bucket } from "../transport/bucket.js";
+import { TokenBucket } from "../transport/tokenBucket.js";
 import type { Clock } from "../transport/clock.js";
 import type { HttpCaller, Reply } from "../transport/httpClient.js";
 import {
@@ -37,8 +37,8 @@
 
 /** One node's way to the state service, within its share of the service's limits. */
 export class StateClient {
-  private readonly requests: Bucket;
-  private readonly writes: Bucket;
+  private readonly requests: TokenBucket;
+  private readonly writes: TokenBucket;
   /** When the last request that was served had been sent; the start of a proof that we are served. */
   lastServedSentMs = -Infinity;
   /** When the service last refused us or left us without an answer. */
@@ -55,8 +55,8 @@
     // and a 429 (certainly not executed) tells it when all of them together took too much.
     const reads = limits.nodes > 1 ? 0.5 : 0.95;
     const writes = limits.nodes > 1 ? 0.75 : 0.95;
-    this.requests = new Bucket(limits.rps * reads, limits.rps * reads, now);
-    this.writes = new Bucket(limits.writeRps * writes, limits.writeRps * writes, now);
+    this.requests = new TokenBucket(limits.rps * reads, limits.rps * reads, now);
+    this.writes = new TokenBucket(limits.writeRps * writes, limits.writeRps * writes, now);
   }
 
   writeRoom(): number {
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission/admission.ts
@@ -1,14 +1,20 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
-import { asCount } from "../protocol/checks.js";
-import type { JobFeed } from "../bookkeeping/jobFeed.js";
-import { decodeFinal, encodeHead, keys, type Final, type Head } from "../bookkeeping/records.js";
-import type { StateClient } from "../bookkeeping/stateClient.js";
-import { decodeSubmission, encodeAccepted, encodeState, isJobId, type JobPhase } from "../protocol/users.js";
-import type { Team } from "../settings/platform.js";
-import type { Clock } from "../transport/clock.js";
-import type { Answer } from "../transport/httpServer.js";
-import { Actor } from "../transport/mailbox.js";
-import { log } from "../transport/log.js";
+import type { JobSpec, MachineType } from "../../protocol/model.js";
+import { asCount } from "../../protocol/checks.js";
+import type { JobFeed } from "../../bookkeeping/jobFeed.js";
+import { decodeFinal, encodeHead, keys, type Final, type Head } from "../../bookkeeping/records.js";
+import type { StateClient } from "../../bookkeeping/stateClient.js";
+import {
+  decodeSubmission,
+  encodeAccepted,
+  encodeState,
+  isJobId,
+  type JobPhase,
+} from "../../protocol/users.js";
+import type { Team } from "../../settings/platform.js";
+import type { Clock } from "../../transport/clock.js";
+import type { Answer } from "../../transport/httpServer.js";
+import { Actor } from "../../transport/mailbox.js";
+import { log } from "../../transport/log.js";
 
 type Reply = (answer: Answer) => void;
 
@@ -17,7 +23,7 @@
   | { kind: "show"; id: string; reply: Reply }
   | { kind: "cancel"; id: string; reply: Reply }
   | { kind: "types"; types: MachineType[] }
-  | { kind: "tally"; jobs: { id: string; done: number; running: number }[] };
+  | { kind: "task counts"; jobs: { id: string; done: number; running: number }[] };
 
 export interface AdmissionOptions {
   state: StateClient;
@@ -37,12 +43,12 @@
   const team = teams.find((t) => t.name === spec.team);
   if (!team) return `unknown team ${spec.team}`;
   const fitting = types.filter(
-    (t) =>
-      (spec.types === null || spec.types.includes(t.name)) &&
-      (spec.zone === null || t.zones.includes(spec.zone)) &&
-      t.cpus >= spec.cpus &&
-      t.gpus >= spec.gpus &&
-      t.memoryGb >= spec.memoryGb,
+    (type) =>
+      (spec.types === null || spec.types.includes(type.name)) &&
+      (spec.zone === null || type.zones.includes(spec.zone)) &&
+      type.cpus >= spec.cpus &&
+      type.gpus >= spec.gpus &&
+      type.memoryGb >= spec.memoryGb,
   );
   if (fitting.length === 0) return "a task fits no allowed machine type";
   const atOnce = spec.kind === "array" ? 1 : spec.tasks;
@@ -74,7 +80,7 @@
   /** For display only. */
   private readonly counts = new Map<string, { done: number; running: number }>();
 
-  constructor(private readonly o: AdmissionOptions) {
+  constructor(private readonly options: AdmissionOptions) {
     super();
   }
 
@@ -89,7 +95,7 @@
       case "types":
         this.types = message.types;
         break;
-      case "tally":
+      case "task counts":
         for (const job of message.jobs) this.counts.set(job.id, job);
         // Jobs that nobody asked about here until they were over.
         while (this.counts.size > COUNTS_KEPT) this.counts.delete(this.counts.keys().next().value!);
@@ -122,7 +128,7 @@
     const decoded = decodeSubmission(value);
     if ("wrong" in decoded) return { status: 400, body: { error: decoded.wrong } };
     const { spec } = decoded;
-    const deadline = this.o.clock.nowMs() + SUBMIT_MS;
+    const deadline = this.options.clock.nowMs() + SUBMIT_MS;
     const final = this.finals.get(spec.id);
     if (final) return { status: 200, body: encodeAccepted(spec.id, phaseOf(final)) };
     if (!this.types) {
@@ -131,10 +137,10 @@
       if (known !== "absent" && known !== "failed") return this.knownAnswer(spec.id, known);
       return this.later("machine types are not known yet");
     }
-    const never = neverRuns(spec, this.types, this.o.teams);
-    const head: Head = { spec, acceptedAt: this.o.clock.today(), cancelledAt: null };
+    const never = neverRuns(spec, this.types, this.options.teams);
+    const head: Head = { spec, acceptedAt: this.options.clock.today(), cancelledAt: null };
     const record = encodeHead(head);
-    const tooBig = Buffer.byteLength(JSON.stringify(record)) > this.o.valueBytes;
+    const tooBig = Buffer.byteLength(JSON.stringify(record)) > this.options.valueBytes;
     if (never !== null || tooBig) {
       // Settings may have changed since it was accepted: what was accepted stays so (rule `forgotten`).
       const known = await this.lookUp(spec.id, deadline);
@@ -144,7 +150,7 @@
         ? { status: 422, body: { error: never } }
         : { status: 400, body: { error: "the description is too long to be kept" } };
     }
-    const outcome = await this.o.state.commit(
+    const outcome = await this.options.state.commit(
       [
         { key: keys.head(spec.id), version: 0 },
         { key: keys.final(spec.id), version: 0 },
@@ -157,7 +163,7 @@
     }
     if (outcome.kind === "refused") return this.later("the state service does not take changes");
     // Known already, or the outcome is unknown: only reading tells.
-    const known = await this.lookUp(spec.id, Math.max(deadline, this.o.clock.nowMs() + 300));
+    const known = await this.lookUp(spec.id, Math.max(deadline, this.options.clock.nowMs() + 300));
     if (known === "failed" || known === "absent") return this.later("the outcome is not known yet");
     return this.knownAnswer(spec.id, known);
   }
@@ -170,7 +176,7 @@
   private headPhase(head: Head): JobPhase {
     const { id } = head.spec;
     if (head.cancelledAt === null) return this.livePhase(id);
-    this.o.onCancelTold(id, head.cancelledAt);
+    this.options.onCancelTold(id, head.cancelledAt);
     return "cancelled";
   }
 
@@ -188,10 +194,10 @@
   ): Promise<{ head: Head; version: number } | { final: Final } | "absent" | "failed"> {
     const remembered = this.finals.get(id);
     if (remembered) return { final: remembered };
-    if (!(await this.o.feed.fresh(deadlineMs))) return "failed";
-    const live = this.o.feed.live(id);
+    if (!(await this.options.feed.fresh(deadlineMs))) return "failed";
+    const live = this.options.feed.live(id);
     if (live) return live;
-    const over = await this.o.state.get(keys.final(id), deadlineMs);
+    const over = await this.options.state.get(keys.final(id), deadlineMs);
     if (over.kind === "failed") return "failed";
     if (over.kind === "found") {
       const final = decodeFinal(over.item.value);
@@ -202,13 +208,13 @@
       return { final };
     }
     // A live record that can't be read is not absent.
-    const unreadable = await this.o.state.get(keys.head(id), deadlineMs);
+    const unreadable = await this.options.state.get(keys.head(id), deadlineMs);
     return unreadable.kind === "absent" ? "absent" : "failed";
   }
 
   private async show(id: string): Promise<Answer> {
     if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
-    const known = await this.lookUp(id, this.o.clock.nowMs() + POLL_MS);
+    const known = await this.lookUp(id, this.options.clock.nowMs() + POLL_MS);
     if (known === "failed") return this.later("the state service does not answer");
     if (known === "absent") return { status: 404, body: { error: "no such job" } };
     if ("final" in known) {
@@ -225,15 +231,15 @@
 
   private async cancel(id: string): Promise<Answer> {
     if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
-    const deadline = this.o.clock.nowMs() + SUBMIT_MS;
+    const deadline = this.options.clock.nowMs() + SUBMIT_MS;
     for (let round = 0; round < 4; round++) {
       const known = await this.lookUp(id, deadline);
       if (known === "failed") return this.later("the state service does not answer");
       if (known === "absent") return { status: 404, body: { error: "no such job" } };
       if ("final" in known) return { status: 200, body: encodeAccepted(id, phaseOf(known.final)) };
       if (known.head.cancelledAt !== null) return this.knownAnswer(id, known);
-      const head: Head = { ...known.head, cancelledAt: this.o.clock.today() };
-      const outcome = await this.o.state.commit(
+      const head: Head = { ...known.head, cancelledAt: this.options.clock.today() };
+      const outcome = await this.options.state.commit(
         [{ key: keys.head(id), version: known.version }],
         [{ put: keys.head(id), value: encodeHead(head) }],
         deadline,
--- a/src/coordination/commands.ts
+++ b/src/coordination/commands/commandBatch.ts
@@ -1,8 +1,8 @@
-import type { Command } from "../protocol/model.js";
-import type { Job } from "../bookkeeping/jobs.js";
-import type { Machine } from "../bookkeeping/machines.js";
+import type { Command } from "../../protocol/model.js";
+import type { Job } from "../../bookkeeping/jobs.js";
+import type { Machine } from "../../bookkeeping/machines.js";
 
-export interface Letter {
+export interface CommandBatch {
   token: number;
   commands: Command[];
 }
@@ -15,22 +15,22 @@
  * What a worker has to be told now, and under which token. Called right before sending: it notes what is sent.
  *
  * After a `reap` the worker has forgotten the attempt, and a copy of its start still on the way would run it
- * again (rule `ran_twice`). So a letter that reaps carries a token above that of every start sent before:
+ * again (rule `ran_twice`). So a batch that reaps carries a token above that of every start sent before:
  * whatever is still on the way is refused from then on.
  */
-export function writeLetter(
-  m: Machine,
+export function composeCommandBatch(
+  machine: Machine,
   jobs: Map<string, Job>,
   nowMs: number,
   options: { starts: boolean; raise: boolean },
-): Letter {
+): CommandBatch {
   const commands: Command[] = [];
   let reaps = false;
-  for (const t of m.reported) {
+  for (const t of machine.reported) {
     const { jobId, task, attempt } = t;
     const job = jobs.get(jobId);
     const a = job?.attemptOf(task);
-    const ours = a !== undefined && a.attempt === attempt && a.machine === m;
+    const ours = a !== undefined && a.attempt === attempt && a.machine === machine;
     if (ours) continue;
     if (t.phase !== "exited") {
       // Nobody's: its job is over, or another attempt has taken its place.
@@ -42,7 +42,7 @@
     commands.push({ op: "reap", jobId, task, attempt });
     reaps = true;
   }
-  for (const a of m.attempts) {
+  for (const a of machine.attempts) {
     if (a.stop && (a.sentToken >= 0 || a.inherited)) {
       if (a.stop.sent && nowMs - a.stop.lastSentMs < REPEAT_STOP_MS) continue;
       a.stop.sent = true;
@@ -50,18 +50,20 @@
       commands.push({ op: "stop", jobId: a.job.id, task: a.task, attempt: a.attempt, graceS: a.stop.graceS });
     }
   }
-  if (options.raise || (reaps && m.startToken >= m.token)) m.token = Math.max(m.token, m.startToken) + 1;
+  if (options.raise || (reaps && machine.startToken >= machine.token))
+    machine.token = Math.max(machine.token, machine.startToken) + 1;
   if (options.starts) {
-    for (const a of m.attempts) {
+    for (const a of machine.attempts) {
       // Intent before command: only what is durable is sent.
       if (!a.durable || a.stop || a.phase !== null || a.inherited) continue;
-      if (a.sentToken >= 0 && (a.sentSession !== m.session || nowMs - a.sentMs < REPEAT_START_MS)) continue;
-      a.sentToken = m.token;
-      a.sentSession = m.session;
+      if (a.sentToken >= 0 && (a.sentSession !== machine.session || nowMs - a.sentMs < REPEAT_START_MS))
+        continue;
+      a.sentToken = machine.token;
+      a.sentSession = machine.session;
       a.sentMs = nowMs;
-      m.startToken = m.token;
+      machine.startToken = machine.token;
       commands.push({ op: "start", jobId: a.job.id, task: a.task, attempt: a.attempt });
     }
   }
-  return { token: m.token, commands };
+  return { token: machine.token, commands };
 }
--- a/src/coordination/commandSender.ts
+++ b/src/coordination/commands/commandSender.ts
@@ -1,14 +1,15 @@
-import type { Errand, ErrandResult } from "../protocol/model.js";
-import { decodeReport, DIRECT_PATH, encodeDirect } from "../protocol/workers.js";
-import type { HttpCaller } from "../transport/httpClient.js";
-import { Actor } from "../transport/mailbox.js";
-import { log } from "../transport/log.js";
+import type { CommandDelivery, DeliveryResult } from "../../protocol/model.js";
+import { decodeReport, DIRECT_PATH, encodeDirect } from "../../protocol/workers.js";
+import type { HttpCaller } from "../../transport/httpClient.js";
+import { Actor } from "../../transport/mailbox.js";
+import { log } from "../../transport/log.js";
 
-type Back = (result: ErrandResult) => void;
+type OnResult = (result: DeliveryResult) => void;
 type Message =
-  { kind: "send"; errand: Errand; back: Back } | { kind: "back"; result: ErrandResult; back: Back };
+  | { kind: "send"; delivery: CommandDelivery; back: OnResult }
+  | { kind: "back"; result: DeliveryResult; back: OnResult };
 
-/** Carries commands straight to workers. One errand at a time to each machine. */
+/** Carries commands straight to workers. One delivery at a time to each machine. */
 export class CommandSender extends Actor<Message> {
   private readonly busy = new Set<string>();
 
@@ -29,16 +30,16 @@
       message.back(message.result);
       return;
     }
-    const { errand, back } = message;
-    const { machine, token } = errand;
+    const { delivery, back } = message;
+    const { machine, token } = delivery;
     if (this.busy.has(machine)) {
-      // The sender keeps to one errand a machine; a second one was never sent.
+      // The sender keeps to one delivery a machine; a second one was never sent.
       back({ machine, token, status: null, neverSent: true, report: null });
       return;
     }
     this.busy.add(machine);
-    const body = encodeDirect(token, errand.session, errand.commands);
-    this.http.call(errand.address, "POST", DIRECT_PATH, body, this.timeoutMs).then(
+    const body = encodeDirect(token, delivery.session, delivery.commands);
+    this.http.call(delivery.address, "POST", DIRECT_PATH, body, this.timeoutMs).then(
       (reply) => {
         const report = decodeReport(reply.body);
         this.tell({
--- /dev/null
+++ b/src/coordination/leadership/election.ts
@@ -0,0 +1,511 @@
+import type { StateClient, Item } from "../../bookkeeping/stateClient.js";
+import { keys } from "../../bookkeeping/records.js";
+import { asCount, asObject, asText } from "../../protocol/checks.js";
+import type { PeerMessage } from "../../protocol/peers.js";
+import type { Clock, Timer } from "../../transport/clock.js";
+import { Actor } from "../../transport/mailbox.js";
+import { log } from "../../transport/log.js";
+import { leadershipLeaseUntilMs } from "./leaseExpiry.js";
+
+/** What the leader may do, and until when by its own steady clock. */
+export interface LeadershipLease {
+  term: number;
+  /** Version of the term's key: guards every write of this term. */
+  termVersion: number;
+  /** Until then everything. */
+  fullUntilMs: number;
+  /** Until then reports may be acknowledged; never less than `fullUntilMs`. */
+  ackUntilMs: number;
+  /** From then on no earlier leader can acknowledge anything; Infinity while that is unknown. */
+  othersSilentFromMs: number;
+}
+
+export interface ElectionNews {
+  /** Null: not leading. The same term comes again whenever a time moves. */
+  lease: LeadershipLease | null;
+  /** Name of the leader as far as we know; null: nobody. */
+  leader: string | null;
+  /** That leader's term. */
+  term: number;
+}
+
+export interface ElectionOptions {
+  node: string;
+  /** Different in each process, so that a process does not take its forerunner's leadership for its own. */
+  life: string;
+  peers: string[];
+  state: StateClient;
+  clock: Clock;
+  send: (peer: string, message: PeerMessage) => void;
+  /** Between 0 and 1. */
+  random: () => number;
+  onNews: (news: ElectionNews) => void;
+  leaseMs: number;
+  probeMs: number;
+}
+
+interface LeadershipRecord {
+  term: number;
+  node: string;
+  life: string;
+  lease: number;
+}
+
+interface LeadershipView {
+  termVersion: number;
+  term: number;
+  record: LeadershipRecord | null;
+}
+
+type Message =
+  | { kind: "probe" }
+  | { kind: "probed"; view: LeadershipView | null; sentMs: number }
+  | { kind: "campaigned"; won: { lease: number; sentMs: number; revision: number; term: number } | null }
+  | { kind: "renewed"; term: number; outcome: "ok" | "ended" | "failed"; sentMs: number }
+  | { kind: "peer"; message: PeerMessage }
+  | { kind: "deposed"; term: number }
+  | { kind: "behind"; term: number }
+  | { kind: "refused"; peer: string };
+
+/** A renewal without an answer is tried again after this. */
+const RENEW_MS = 1300;
+/** How long an extension counts, from when it was asked for. */
+export const EXTENSION_MS = 2000;
+/** A peer confirms an extension only if it was refused this recently, and served no later than that. */
+const REFUSED_WITHIN_MS = 1500;
+/** A leader that falls behind lets the others try for so long. */
+const STAND_BACK_MS = 20_000;
+
+export function readLeadership(items: Item[]): LeadershipView {
+  const view: LeadershipView = { termVersion: 0, term: 0, record: null };
+  for (const item of items) {
+    const o = asObject(item.value);
+    if (item.key === keys.term) {
+      view.termVersion = item.version;
+      view.term = asCount(o?.n) ?? 0;
+    } else if (item.key === keys.hold) {
+      view.record = {
+        term: asCount(o?.n) ?? 0,
+        node: asText(o?.node) ?? "",
+        life: asText(o?.life) ?? "",
+        lease: asCount(o?.lease) ?? 0,
+      };
+    }
+  }
+  return view;
+}
+
+/** May we confirm that the state service refuses everybody, and that no later term is known to us? Pure. */
+export function mayConfirmExtension(facts: {
+  nowMs: number;
+  everServed: boolean;
+  lastServedSentMs: number;
+  lastRefusedMs: number;
+  knownTerm: number;
+  askedTerm: number;
+}): boolean {
+  return (
+    // A restarted node knows nothing until it has read the state service.
+    facts.everServed &&
+    facts.knownTerm <= facts.askedTerm &&
+    facts.lastRefusedMs > facts.lastServedSentMs &&
+    facts.nowMs - facts.lastRefusedMs <= REFUSED_WITHIN_MS
+  );
+}
+
+/** More than half of all controllers, ourselves included. */
+export function isMajority(yes: number, size: number): boolean {
+  return yes * 2 > size;
+}
+
+/** Owns the term: campaigns, renews, asks its peers for an extension in an outage. Others learn of it through `onNews`. */
+export class Elector extends Actor<Message> {
+  private knownTerm = 0;
+  private hasRead = false;
+  private leader: string | null = null;
+  private leaderTerm = 0;
+  private ownTerm: { term: number; termVersion: number; lease: number; renewedSentMs: number } | null = null;
+  private campaigning = false;
+  private requestInFlight = false;
+  private confirmedBy = new Set<string>();
+  private othersSilentFromMs = Infinity;
+  private lastRequest = 0;
+  private openRequests = new Map<number, { sentMs: number; term: number; yes: Set<string> }>();
+  private extendedUntilMs = -Infinity;
+  private timer: Timer | null = null;
+  private stopped = false;
+  private standBackUntilMs = -Infinity;
+  /** The leader, when its host refuses connections. */
+  private suspect: string | null = null;
+
+  constructor(private readonly options: ElectionOptions) {
+    super();
+  }
+
+  start(): void {
+    this.tell({ kind: "probe" });
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+  }
+
+  protected override failed(message: Message, error: unknown): void {
+    log.error(`election: ${message.kind}: ${String((error as Error)?.stack ?? error)}`);
+  }
+
+  protected override handle(message: Message): void {
+    switch (message.kind) {
+      case "probe":
+        this.probe();
+        break;
+      case "probed":
+        this.probed(message.view);
+        break;
+      case "campaigned":
+        this.campaigned(message.won);
+        break;
+      case "renewed":
+        this.renewed(message.term, message.outcome, message.sentMs);
+        break;
+      case "peer":
+        this.receive(message.message);
+        break;
+      case "deposed":
+        if (this.ownTerm && this.ownTerm.term === message.term) this.resign("a later term has begun");
+        break;
+      case "refused":
+        // Only a suspicion (a node without free sockets refuses, too), so nothing is concluded from it but that a new
+        // term may begin early: what the old leader may still do is as bounded as ever, by guards, tokens and times.
+        if (message.peer === this.leader && !this.ownTerm) {
+          this.suspect = message.peer;
+          this.probeAfter(0);
+        }
+        break;
+      case "behind":
+        if (this.ownTerm && this.ownTerm.term === message.term) {
+          this.standBackUntilMs = this.options.clock.nowMs() + STAND_BACK_MS;
+          this.resign("this node falls behind, others do not");
+        }
+        break;
+    }
+  }
+
+  private probeAfter(delayMs: number): void {
+    this.timer?.cancel();
+    if (this.stopped) return;
+    this.timer = this.options.clock.after(delayMs, () => this.tell({ kind: "probe" }));
+  }
+
+  private probe(): void {
+    if (this.requestInFlight) return;
+    this.requestInFlight = true;
+    const sentMs = this.options.clock.nowMs();
+    if (this.ownTerm) {
+      const { term, lease } = this.ownTerm;
+      void this.options.state
+        .renewLease(lease, sentMs + RENEW_MS)
+        .then((outcome) => this.tell({ kind: "renewed", term, outcome, sentMs }));
+    } else {
+      void this.options.state.list(keys.lead, sentMs + 1500).then((list) => {
+        this.tell({ kind: "probed", view: list.kind === "ok" ? readLeadership(list.items) : null, sentMs });
+      });
+    }
+  }
+
+  private probed(view: LeadershipView | null): void {
+    this.requestInFlight = false;
+    if (!view) {
+      this.probeAfter(this.options.probeMs);
+      return;
+    }
+    this.hasRead = true;
+    this.knownTerm = Math.max(this.knownTerm, view.term);
+    this.setLeader(view.record ? view.record.node : null, view.record?.term ?? 0);
+    const { suspect } = this;
+    this.suspect = null;
+    if (view.record && suspect !== null && view.record.node === suspect) {
+      this.endLease(view.record, `${suspect} refuses connections`);
+      return;
+    }
+    if (!view.record) {
+      if (this.options.clock.nowMs() < this.standBackUntilMs) this.probeAfter(this.options.probeMs);
+      else this.campaign(view);
+      return;
+    }
+    if (view.record.node === this.options.node && view.record.life !== this.options.life) {
+      // Our own forerunner's lease: that process is certainly over, so nobody need wait for its lease.
+      this.endLease(view.record, "it was this node's former process's");
+      return;
+    }
+    this.probeAfter(this.options.probeMs);
+  }
+
+  private endLease(record: LeadershipRecord, reason: string): void {
+    this.requestInFlight = true;
+    log.info(`ending the lease of term ${record.term}: ${reason}`);
+    void this.options.state.endLease(record.lease, this.options.clock.nowMs() + 1000).then(() => {
+      this.requestInFlight = false;
+      this.tell({ kind: "probe" });
+    });
+  }
+
+  private campaign(view: LeadershipView): void {
+    if (this.campaigning) return;
+    this.campaigning = true;
+    this.requestInFlight = true;
+    const term = view.term + 1;
+    const run = async (): Promise<void> => {
+      const start = this.options.clock.nowMs();
+      const lease = await this.options.state.openLease(this.options.leaseMs, start + 1500);
+      if (lease === null) {
+        this.tell({ kind: "campaigned", won: null });
+        return;
+      }
+      const sentMs = start;
+      const outcome = await this.options.state.commit(
+        [
+          { key: keys.hold, version: 0 },
+          { key: keys.term, version: view.termVersion },
+        ],
+        [
+          { put: keys.term, value: { n: term, node: this.options.node } },
+          {
+            put: keys.hold,
+            value: { n: term, node: this.options.node, life: this.options.life, lease },
+            lease,
+          },
+        ],
+        this.options.clock.nowMs() + 1500,
+      );
+      let revision = outcome.kind === "ok" ? outcome.revision : -1;
+      if (outcome.kind === "unknown") {
+        // Perhaps carried out: read, never guess.
+        const list = await this.options.state.list(keys.lead, this.options.clock.nowMs() + 1500);
+        const now = list.kind === "ok" ? readLeadership(list.items) : null;
+        if (
+          now?.record?.life === this.options.life &&
+          now.record.term === term &&
+          now.record.lease === lease
+        ) {
+          revision = now.termVersion;
+        }
+      }
+      if (revision < 0) {
+        void this.options.state.endLease(lease, this.options.clock.nowMs() + 1000);
+        this.tell({ kind: "campaigned", won: null });
+      } else {
+        this.tell({ kind: "campaigned", won: { lease, sentMs, revision, term } });
+      }
+    };
+    void run();
+  }
+
+  private campaigned(won: { lease: number; sentMs: number; revision: number; term: number } | null): void {
+    this.campaigning = false;
+    this.requestInFlight = false;
+    if (!won) {
+      this.probeAfter(50 + this.options.random() * 150);
+      return;
+    }
+    this.knownTerm = won.term;
+    this.ownTerm = { term: won.term, termVersion: won.revision, lease: won.lease, renewedSentMs: won.sentMs };
+    this.confirmedBy = new Set([this.options.node]);
+    this.othersSilentFromMs = Infinity;
+    this.extendedUntilMs = -Infinity;
+    this.openRequests.clear();
+    this.leader = this.options.node;
+    this.leaderTerm = won.term;
+    log.info(`leading term ${won.term}`);
+    this.checkQuorum();
+    this.announceTerm();
+    this.publish();
+    this.probeAfter(this.renewEveryMs());
+  }
+
+  private renewEveryMs(): number {
+    return this.options.leaseMs / 4;
+  }
+
+  private renewed(term: number, outcome: "ok" | "ended" | "failed", sentMs: number): void {
+    this.requestInFlight = false;
+    if (!this.ownTerm || this.ownTerm.term !== term) {
+      this.probeAfter(0);
+      return;
+    }
+    if (outcome === "ok") {
+      this.ownTerm.renewedSentMs = sentMs;
+      this.announceTerm();
+      this.publish();
+      this.probeAfter(this.renewEveryMs());
+      return;
+    }
+    if (outcome === "ended") {
+      this.resign("the leadership lease has ended");
+      return;
+    }
+    // Refused or silent: perhaps an outage. Ask the others, in time before the lease runs out.
+    this.requestExtension();
+    const now = this.options.clock.nowMs();
+    if (now >= this.ackUntilMs() + 1000 && now >= this.leaseUntilMs() + EXTENSION_MS) {
+      this.resign("the leadership lease has run out and no quorum extends it");
+      return;
+    }
+    this.probeAfter(300);
+  }
+
+  private leaseUntilMs(): number {
+    return this.ownTerm
+      ? leadershipLeaseUntilMs(this.ownTerm.renewedSentMs, this.options.leaseMs)
+      : -Infinity;
+  }
+
+  private ackUntilMs(): number {
+    return Math.max(this.leaseUntilMs(), this.extendedUntilMs);
+  }
+
+  private resign(reason: string): void {
+    if (!this.ownTerm) return;
+    log.info(`no longer leading term ${this.ownTerm.term}: ${reason}`);
+    const lease = this.ownTerm.lease;
+    this.ownTerm = null;
+    this.leader = null;
+    this.extendedUntilMs = -Infinity;
+    this.options.onNews({ lease: null, leader: null, term: 0 });
+    void this.options.state.endLease(lease, this.options.clock.nowMs() + 1000);
+    this.probeAfter(100 + this.options.random() * 200);
+  }
+
+  private setLeader(leader: string | null, term: number): void {
+    if (leader === this.options.node) leader = null;
+    // A read may be older than what the leader itself has told us since.
+    if (leader !== null && term < this.leaderTerm) return;
+    if (leader === this.leader && (leader === null || term === this.leaderTerm)) return;
+    this.leader = leader;
+    if (leader !== null) this.leaderTerm = term;
+    this.options.onNews({ lease: null, leader, term });
+  }
+
+  private publish(): void {
+    if (!this.ownTerm) return;
+    this.options.onNews({
+      lease: {
+        term: this.ownTerm.term,
+        termVersion: this.ownTerm.termVersion,
+        fullUntilMs: this.leaseUntilMs(),
+        ackUntilMs: this.ackUntilMs(),
+        othersSilentFromMs: this.othersSilentFromMs,
+      },
+      leader: this.options.node,
+      term: this.ownTerm.term,
+    });
+  }
+
+  private announceTerm(): void {
+    if (!this.ownTerm || this.othersSilentFromMs < Infinity) return;
+    for (const peer of this.options.peers) {
+      if (!this.confirmedBy.has(peer)) {
+        this.options.send(peer, {
+          kind: "term announcement",
+          from: this.options.node,
+          term: this.ownTerm.term,
+        });
+      }
+    }
+  }
+
+  private checkQuorum(): void {
+    if (
+      this.othersSilentFromMs < Infinity ||
+      !isMajority(this.confirmedBy.size, this.options.peers.length + 1)
+    )
+      return;
+    // Whoever led before can still hold an extension that was confirmed just before the majority confirmed us,
+    // or, if its lease was ended early, the rest of that lease.
+    this.othersSilentFromMs =
+      this.options.clock.nowMs() + Math.max(EXTENSION_MS, this.options.leaseMs) * 1.001 + 50;
+  }
+
+  private requestExtension(): void {
+    if (!this.ownTerm) return;
+    const sentMs = this.options.clock.nowMs();
+    const ask = ++this.lastRequest;
+    this.openRequests.set(ask, { sentMs, term: this.ownTerm.term, yes: new Set([this.options.node]) });
+    for (const [key, old] of this.openRequests)
+      if (sentMs - old.sentMs > EXTENSION_MS) this.openRequests.delete(key);
+    for (const peer of this.options.peers) {
+      this.options.send(peer, {
+        kind: "extension request",
+        from: this.options.node,
+        term: this.ownTerm.term,
+        ask,
+      });
+    }
+  }
+
+  private receive(message: PeerMessage): void {
+    const now = this.options.clock.nowMs();
+    switch (message.kind) {
+      case "term announcement":
+        // From now on we confirm no extension of an earlier term: `mayConfirmExtension` looks at `knownTerm`.
+        this.knownTerm = Math.max(this.knownTerm, message.term);
+        if (message.term === this.knownTerm && !this.ownTerm) this.setLeader(message.from, message.term);
+        if (message.term >= this.knownTerm)
+          this.options.send(message.from, {
+            kind: "term acknowledgement",
+            from: this.options.node,
+            term: message.term,
+          });
+        if (this.ownTerm && message.term > this.ownTerm.term)
+          this.resign(`${message.from} leads term ${message.term}`);
+        break;
+      case "term acknowledgement":
+        if (this.ownTerm && message.term === this.ownTerm.term && this.options.peers.includes(message.from)) {
+          this.confirmedBy.add(message.from);
+          const before = this.othersSilentFromMs;
+          this.checkQuorum();
+          if (before !== this.othersSilentFromMs) this.publish();
+        }
+        break;
+      case "extension request":
+        this.options.send(message.from, {
+          kind: "extension vote",
+          from: this.options.node,
+          term: message.term,
+          ask: message.ask,
+          yes:
+            this.ownTerm === null &&
+            mayConfirmExtension({
+              nowMs: now,
+              everServed: this.hasRead,
+              lastServedSentMs: this.options.state.lastServedSentMs,
+              lastRefusedMs: this.options.state.lastRefusedMs,
+              knownTerm: this.knownTerm,
+              askedTerm: message.term,
+            }),
+        });
+        break;
+      case "extension vote": {
+        const asked = this.openRequests.get(message.ask);
+        if (
+          !message.yes ||
+          !asked ||
+          !this.ownTerm ||
+          asked.term !== this.ownTerm.term ||
+          message.term !== asked.term
+        )
+          break;
+        if (!this.options.peers.includes(message.from)) break;
+        asked.yes.add(message.from);
+        if (isMajority(asked.yes.size, this.options.peers.length + 1)) {
+          this.extendedUntilMs = Math.max(this.extendedUntilMs, asked.sentMs + EXTENSION_MS * 0.999);
+          this.publish();
+        }
+        break;
+      }
+      default:
+        break;
+    }
+  }
+}
--- a/src/coordination/leader.ts
+++ b/src/coordination/leadership/leader.ts
@@ -1,27 +1,27 @@
-import type { Errand, ErrandResult, MachineType } from "../protocol/model.js";
-import type { Grant, Serving } from "../protocol/peers.js";
-import type { Transaction } from "../bookkeeping/ledger.js";
+import type { CommandDelivery, DeliveryResult, MachineType } from "../../protocol/model.js";
+import type { Grant, ReportServerUpdate } from "../../protocol/peers.js";
+import type { Transaction } from "../../bookkeeping/ledger.js";
 import type {
   CommitOutcome,
   Item,
   ListOutcome,
   StateClient,
   WatchOutcome,
-} from "../bookkeeping/stateClient.js";
-import type { Operator } from "../settings/operator.js";
-import type { Platform } from "../settings/platform.js";
-import type { Clock, Timer } from "../transport/clock.js";
-import { Actor } from "../transport/mailbox.js";
-import { log } from "../transport/log.js";
-import type { CloudDesk, CloudNews } from "./cloudDesk.js";
+} from "../../bookkeeping/stateClient.js";
+import type { Operator } from "../../settings/operator.js";
+import type { Platform } from "../../settings/platform.js";
+import type { Clock, Timer } from "../../transport/clock.js";
+import { Actor } from "../../transport/mailbox.js";
+import { log } from "../../transport/log.js";
+import type { CloudClient, CloudNews } from "../provisioning/cloudClient.js";
 import type { ElectionNews } from "./election.js";
-import type { AckLimits } from "./reportServer.js";
-import { Estimates } from "./estimates.js";
+import type { ReportServerLimits } from "../reports/reportServer.js";
+import { Estimates } from "../scheduling/estimates.js";
 import { LeaderTerm } from "./leaderTerm.js";
 
 export type LeaderMessage =
   | { kind: "election"; news: ElectionNews }
-  | { kind: "serving"; serving: Serving }
+  | { kind: "report server update"; serving: ReportServerUpdate }
   | {
       kind: "loaded";
       term: number;
@@ -33,9 +33,9 @@
   | { kind: "watched"; term: number; outcome: WatchOutcome; sentMs: number }
   | { kind: "reread"; term: number; key: string; item: Item | null; ok: boolean }
   | { kind: "committed"; term: number; transaction: Transaction; outcome: CommitOutcome }
-  | { kind: "errand"; term: number; result: ErrandResult }
+  | { kind: "delivery finished"; term: number; result: DeliveryResult }
   | { kind: "cloud"; news: CloudNews }
-  | { kind: "pass"; term: number }
+  | { kind: "cycle"; term: number }
   | { kind: "write"; term: number }
   | { kind: "tick" };
 
@@ -44,16 +44,16 @@
   operator: Operator;
   state: StateClient;
   clock: Clock;
-  cloud: CloudDesk;
+  cloud: CloudClient;
   /** Has commands carried, by the controller that serves the machine or from here. */
-  errand: (term: number, via: string | null, errand: Errand) => void;
+  deliver: (term: number, via: string | null, delivery: CommandDelivery) => void;
   sendGrant: (peer: string, grant: Grant) => void;
   /** Who serves workers: the report server beside us spreads them, too. */
-  onHomes: (homes: Grant["homes"]) => void;
+  onServers: (servers: Grant["servers"]) => void;
   /** What the report server beside us may acknowledge. */
-  onAckLimits: (limits: AckLimits) => void;
+  onLimits: (limits: ReportServerLimits) => void;
   /** Workers that report to this node. */
-  served: () => number;
+  workerCount: () => number;
   lagMs: () => number;
   /** To the leader itself: how answers of the outside come back into its mailbox. */
   tell: (message: LeaderMessage) => void;
@@ -61,7 +61,7 @@
   /** This node falls behind, and others do not. */
   onBehind: (term: number) => void;
   onTypes: (types: MachineType[]) => void;
-  onTally: (term: number, jobs: { id: string; done: number; running: number }[]) => void;
+  onTaskCounts: (term: number, jobs: { id: string; done: number; running: number }[]) => void;
 }
 
 const TICK_MS = 250;
@@ -69,14 +69,14 @@
 /** The leader's actor: holds the term's parts while there is one, and hands each message to the part it concerns. */
 export class Leader extends Actor<LeaderMessage> {
   private leaderTerm: LeaderTerm | null = null;
-  private readonly o: LeaderOptions;
+  private readonly options: LeaderOptions;
   private readonly estimates: Estimates;
   private timer: Timer | null = null;
   private stopped = false;
 
   constructor(options: Omit<LeaderOptions, "tell">) {
     super();
-    this.o = { ...options, tell: (message) => this.tell(message) };
+    this.options = { ...options, tell: (message) => this.tell(message) };
     this.estimates = new Estimates(
       new Set([options.platform.zone, ...options.platform.peers.map((p) => p.zone)]),
     );
@@ -111,62 +111,66 @@
     }
     // Whatever belongs to a term that is over is dropped.
     const r = this.leaderTerm;
-    if (!r || r.mandate.term !== (message.kind === "serving" ? message.serving.term : message.term)) return;
+    if (
+      !r ||
+      r.lease.term !== (message.kind === "report server update" ? message.serving.term : message.term)
+    )
+      return;
     switch (message.kind) {
-      case "serving":
-        r.supervisor.served(message.serving);
+      case "report server update":
+        r.supervisor.receiveUpdate(message.serving);
         break;
-      case "errand":
-        r.supervisor.errandBack(message.result);
+      case "delivery finished":
+        r.supervisor.deliveryFinished(message.result);
         break;
       case "loaded":
-        r.archive.loaded(message.heads, message.chunks, message.rest, message.sentMs);
-        r.limitAcks(this.o.clock.nowMs());
+        r.recordStore.loaded(message.heads, message.chunks, message.rest, message.sentMs);
+        r.updateLimits(this.options.clock.nowMs());
         break;
       case "watched":
-        r.archive.watched(message.outcome, message.sentMs);
+        r.recordStore.watched(message.outcome, message.sentMs);
         break;
       case "reread":
-        r.archive.reread(message.key, message.item, message.ok);
+        r.recordStore.reread(message.key, message.item, message.ok);
         break;
       case "committed":
-        r.archive.committed(message.transaction, message.outcome);
+        r.recordStore.committed(message.transaction, message.outcome);
         break;
-      case "pass":
-        r.placer.pass();
+      case "cycle":
+        r.scheduler.runCycle();
         break;
       case "write":
-        r.archive.writeNow();
+        r.recordStore.writeNow();
         break;
     }
   }
 
   private elected(news: ElectionNews): void {
-    const { mandate } = news;
-    if (this.leaderTerm && this.leaderTerm.mandate.term === mandate?.term) {
-      this.leaderTerm.mandate = mandate;
+    const { lease: lease } = news;
+    if (this.leaderTerm && this.leaderTerm.lease.term === lease?.term) {
+      this.leaderTerm.lease = lease;
       return;
     }
     if (this.leaderTerm) this.leaderTerm.over = true;
-    this.leaderTerm = mandate ? new LeaderTerm(mandate, this.o, this.estimates) : null;
+    this.leaderTerm = lease ? new LeaderTerm(lease, this.options, this.estimates) : null;
     if (!this.leaderTerm) return;
-    this.leaderTerm.archive.load();
+    this.leaderTerm.recordStore.load();
     this.tell({ kind: "tick" });
   }
 
   private heardFromCloud(news: CloudNews): void {
     if (news.kind !== "types") {
-      this.leaderTerm?.fleet.heard(news);
+      this.leaderTerm?.provisioner.receiveNews(news);
       return;
     }
     if (!news.stored || !this.estimates.typesKnown) this.setTypes(news.types, !news.stored);
-    this.leaderTerm?.placer.requestPass();
+    this.leaderTerm?.scheduler.requestCycle();
   }
 
   private setTypes(types: MachineType[], fromCloud: boolean): void {
     if (types.length === 0) return;
     const changed = this.estimates.setTypes(types);
-    if (changed) this.o.onTypes(types);
+    if (changed) this.options.onTypes(types);
     this.leaderTerm?.typesChanged(fromCloud && changed, fromCloud);
   }
 
@@ -175,7 +179,7 @@
     this.timer?.cancel();
     // Without a term there is nothing to do: the next one begins it.
     if (!this.leaderTerm) return;
-    this.timer = this.o.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
-    this.leaderTerm.tick(this.o.clock.nowMs());
+    this.timer = this.options.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
+    this.leaderTerm.tick(this.options.clock.nowMs());
   }
 }
--- a/src/coordination/fences.ts
+++ b/src/coordination/leadership/leaseExpiry.ts
@@ -42,7 +42,7 @@
 }
 
 /** What the leader knows of another controller that acknowledges reports under its grants, in the leader's time. */
-export interface ServerFacts {
+export interface ReportServerFacts {
   /** After this it acknowledges nothing. */
   grantUntilMs: number;
   /** Up to here all that it acknowledged is known. */
@@ -57,12 +57,16 @@
  * after the last acknowledgement known, and for each controller either up to where all of its own are known, or after
  * its grant.
  */
-export function silentFromMs(lastAckMs: number, servers: Iterable<ServerFacts>, leaseS: number): number {
+export function leaseOverEverywhereMs(
+  lastAckMs: number,
+  servers: Iterable<ReportServerFacts>,
+  leaseS: number,
+): number {
   let fromMs = lastAckMs;
-  const open: ServerFacts[] = [];
-  for (const s of servers) {
-    fromMs = Math.max(fromMs, s.blindMs);
-    open.push(s);
+  const open: ReportServerFacts[] = [];
+  for (const server of servers) {
+    fromMs = Math.max(fromMs, server.blindMs);
+    open.push(server);
   }
   for (let moved = true; moved;) {
     moved = false;
@@ -90,16 +94,16 @@
 const ACK_MARGIN_MS = 1000;
 
 /** The longest that a controller can ever be given its own zone for. */
-export function homeGrantMs(cancelS: number, leaseS: number): number {
+export function longestZoneLeaseMs(cancelS: number, leaseS: number): number {
   const ms = Math.floor(ackLimitMs(0, cancelS, leaseS));
-  return ms < MIN_HOME_MS ? 0 : ms;
+  return ms < MIN_ZONE_LEASE_MS ? 0 : ms;
 }
 
 /** A zone for a shorter time than this is no use: a cut is not even noticed in it. */
-export const MIN_HOME_MS = 3000;
+export const MIN_ZONE_LEASE_MS = 3000;
 
-/** A leader's own hold, counted from when its renewal was sent; we count fast, the service may count slow. */
-export function holdUntilMs(renewalSentMs: number, ttlMs: number): number {
+/** A leader's own lease, counted from when its renewal was sent; we count fast, the service may count slow. */
+export function leadershipLeaseUntilMs(renewalSentMs: number, ttlMs: number): number {
   return renewalSentMs + ttlMs * (1 - 2 * DRIFT) - 20;
 }
 
--- a/src/coordination/archive.ts
+++ b/src/coordination/leadership/recordStore.ts
@@ -1,25 +1,25 @@
-import { decodeTypes, encodeTypes } from "../protocol/cloud.js";
-import { Job } from "../bookkeeping/jobs.js";
-import type { Machine } from "../bookkeeping/machines.js";
-import { composeTransaction, type Garbage, type Transaction } from "../bookkeeping/ledger.js";
-import { decodeChunk, decodeFinal, decodeHead, keys } from "../bookkeeping/records.js";
-import type { CommitOutcome, Item, ListOutcome, WatchOutcome } from "../bookkeeping/stateClient.js";
-import type { Timer } from "../transport/clock.js";
-import { log } from "../transport/log.js";
+import { decodeTypes, encodeTypes } from "../../protocol/cloud.js";
+import { Job } from "../../bookkeeping/jobs.js";
+import type { Machine } from "../../bookkeeping/machines.js";
+import { composeTransaction, type Garbage, type Transaction } from "../../bookkeeping/ledger.js";
+import { decodeChunk, decodeFinal, decodeHead, keys } from "../../bookkeeping/records.js";
+import type { CommitOutcome, Item, ListOutcome, WatchOutcome } from "../../bookkeeping/stateClient.js";
+import type { Timer } from "../../transport/clock.js";
+import { log } from "../../transport/log.js";
 import { newStop } from "./attempts.js";
 import type { LeaderOptions } from "./leader.js";
-import type { Estimates } from "./estimates.js";
+import type { Estimates } from "../scheduling/estimates.js";
 import type { LeaderTerm } from "./leaderTerm.js";
 
 /** Results wait so long for company: what needs them sooner, the end of their job, is written at once. */
-export const LAZY_WRITE_MS = 3000;
+export const DEFERRED_WRITE_MS = 3000;
 /** Changes in a second that results leave to others. */
-const LAZY_ROOM = 8;
+const DEFERRED_WRITE_RESERVE = 8;
 /** Short, so that we know at each moment that no cancellation of a while ago is unknown here (`knownToMs`). */
 const WATCH_MS = 800;
 
 /** Owns the term's records: reads them when the term begins, watches them, writes what changes. */
-export class Archive {
+export class RecordStore {
   private revision = 0;
   /** All cancellations that were committed before then are known. */
   knownToMs = -Infinity;
@@ -35,19 +35,19 @@
   private readonly rereading = new Set<string>();
 
   constructor(
-    private readonly r: LeaderTerm,
-    private readonly o: LeaderOptions,
+    private readonly leaderTerm: LeaderTerm,
+    private readonly options: LeaderOptions,
     private readonly estimates: Estimates,
   ) {}
 
   load(): void {
-    const { term } = this.r.mandate;
-    const sentMs = this.o.clock.nowMs();
+    const { term } = this.leaderTerm.lease;
+    const sentMs = this.options.clock.nowMs();
     const deadline = sentMs + 4000;
     const rest = async (): Promise<Item[] | null> => {
       const items: Item[] = [];
       for (const key of [keys.types, keys.moves]) {
-        const got = await this.o.state.get(key, deadline);
+        const got = await this.options.state.get(key, deadline);
         if (got.kind === "failed") return null;
         if (got.kind === "found") items.push(got.item);
       }
@@ -55,20 +55,20 @@
     };
     void Promise.all([
       // Heads before chunks: a chunk whose job is not among the heads is then certainly nobody's.
-      this.o.state.list(keys.live, deadline).then(async (heads) => ({
+      this.options.state.list(keys.live, deadline).then(async (heads) => ({
         heads,
-        chunks: await this.o.state.list(keys.chunks, deadline),
+        chunks: await this.options.state.list(keys.chunks, deadline),
       })),
       rest(),
     ]).then(([{ heads, chunks }, items]) =>
-      this.o.tell({ kind: "loaded", term, heads, chunks, rest: items, sentMs }),
+      this.options.tell({ kind: "loaded", term, heads, chunks, rest: items, sentMs }),
     );
   }
 
   loaded(heads: ListOutcome, chunks: ListOutcome, rest: Item[] | null, sentMs: number): void {
     if (heads.kind === "failed" || chunks.kind === "failed" || !rest) {
-      this.o.clock.after(200, () => {
-        if (!this.r.over) this.load();
+      this.options.clock.after(200, () => {
+        if (!this.leaderTerm.over) this.load();
       });
       return;
     }
@@ -77,26 +77,27 @@
         this.typesVersion = item.version;
         const types = decodeTypes(item.value);
         if (types && !this.estimates.typesKnown)
-          this.o.tell({ kind: "cloud", news: { kind: "types", types, stored: true } });
+          this.options.tell({ kind: "cloud", news: { kind: "types", types, stored: true } });
       } else if (item.key === keys.moves) this.movesVersion = item.version;
     }
     for (const item of heads.items) this.learnHead(item);
     for (const item of chunks.items) this.loadChunk(item);
     this.revision = heads.revision;
     this.knownToMs = sentMs;
-    this.r.loaded = true;
+    this.leaderTerm.loaded = true;
     log.info(
-      `term ${this.r.mandate.term}: ${this.r.jobs.size} live jobs, ${this.r.machines.size} machines known`,
+      `term ${this.leaderTerm.lease.term}: ${this.leaderTerm.jobs.size} live jobs, ${this.leaderTerm.machines.size} machines known`,
     );
-    for (const m of this.r.machines.values()) if (m.state === "up") this.r.supervisor.digest(m);
+    for (const m of this.leaderTerm.machines.values())
+      if (m.state === "up") this.leaderTerm.supervisor.reconcile(m);
     // A gang that had lost a member, and whose leader ended before it had told the others: they would wait for it alone.
-    for (const job of this.r.jobs.values())
+    for (const job of this.leaderTerm.jobs.values())
       if (job.spec.kind === "gang" && job.attempts.size > 0 && job.pending > 0)
-        this.r.attempts.breakGang(job);
+        this.leaderTerm.attempts.breakGang(job);
     // What came up while we read (the types, first of all) has waited for this.
     this.requestWrite(0);
     this.watch();
-    this.r.placer.requestPass();
+    this.leaderTerm.scheduler.requestCycle();
   }
 
   private learnHead(item: Item): void {
@@ -106,22 +107,23 @@
       log.error(`record ${item.key} can't be read`);
       return;
     }
-    const job = this.r.jobs.get(id);
+    const job = this.leaderTerm.jobs.get(id);
     if (job) {
       if (item.version < job.headVersion) return;
       job.headVersion = item.version;
-      if (head.cancelledAt !== null && !job.cancelled) this.r.attempts.cancelJob(job, head.cancelledAt);
+      if (head.cancelledAt !== null && !job.cancelled)
+        this.leaderTerm.attempts.cancelJob(job, head.cancelledAt);
       return;
     }
-    const ageMs = Math.max(0, this.o.clock.today().getTime() - head.acceptedAt.getTime());
-    this.r.jobsVersion++;
+    const ageMs = Math.max(0, this.options.clock.today().getTime() - head.acceptedAt.getTime());
+    this.leaderTerm.jobsVersion++;
     this.estimates.profile(head.spec);
-    this.r.jobs.set(id, Job.fromHead(head, item.version, this.o.clock.nowMs() - ageMs));
+    this.leaderTerm.jobs.set(id, Job.fromHead(head, item.version, this.options.clock.nowMs() - ageMs));
   }
 
   private loadChunk(item: Item): void {
     const parts = item.key.split("/");
-    const job = this.r.jobs.get(parts[1] ?? "");
+    const job = this.leaderTerm.jobs.get(parts[1] ?? "");
     const index = Number(parts[2]);
     const record = decodeChunk(item.value);
     if (!job) {
@@ -136,8 +138,8 @@
     for (const a of record.attempts) {
       if (job.isDone(a.task)) continue;
       // It may be there, or its start may still be on the way: it holds place and quota until proved gone.
-      const machine = this.r.machine(a.machine, a.zone);
-      this.r.attempts.attach({
+      const machine = this.leaderTerm.machine(a.machine, a.zone);
+      this.leaderTerm.attempts.attach({
         job,
         task: a.task,
         attempt: a.attempt,
@@ -148,40 +150,40 @@
         sentSession: 0,
         sentMs: -Infinity,
         phase: null,
-        plannedMs: this.o.clock.nowMs(),
+        plannedMs: this.options.clock.nowMs(),
         runningMs: null,
-        stop: job.cancelled ? newStop(this.o.clock.nowMs(), 0) : null,
+        stop: job.cancelled ? newStop(this.options.clock.nowMs(), 0) : null,
       });
     }
   }
 
   private watch(): void {
-    const { term } = this.r.mandate;
-    const sentMs = this.o.clock.nowMs();
-    void this.o.state
+    const { term } = this.leaderTerm.lease;
+    const sentMs = this.options.clock.nowMs();
+    void this.options.state
       .watch(keys.live, this.revision, WATCH_MS)
-      .then((outcome) => this.o.tell({ kind: "watched", term, outcome, sentMs }));
+      .then((outcome) => this.options.tell({ kind: "watched", term, outcome, sentMs }));
   }
 
   watched(outcome: WatchOutcome, sentMs: number): void {
     if (outcome.kind === "too old") {
       // Heads may have come and been cancelled unseen: read them all again.
-      const { term } = this.r.mandate;
-      const listedMs = this.o.clock.nowMs();
-      void this.o.state.list(keys.live, listedMs + 4000).then((list) => {
+      const { term } = this.leaderTerm.lease;
+      const listedMs = this.options.clock.nowMs();
+      void this.options.state.list(keys.live, listedMs + 4000).then((list) => {
         const outcome: WatchOutcome =
           list.kind === "ok"
             ? { kind: "ok", revision: list.revision, events: list.items }
             : { kind: "too old" };
-        this.o.clock.after(list.kind === "ok" ? 0 : 300, () =>
-          this.o.tell({ kind: "watched", term, outcome, sentMs: listedMs }),
+        this.options.clock.after(list.kind === "ok" ? 0 : 300, () =>
+          this.options.tell({ kind: "watched", term, outcome, sentMs: listedMs }),
         );
       });
       return;
     }
     if (outcome.kind === "failed") {
-      this.o.clock.after(250, () => {
-        if (!this.r.over) this.watch();
+      this.options.clock.after(250, () => {
+        if (!this.leaderTerm.over) this.watch();
       });
       return;
     }
@@ -189,7 +191,7 @@
     for (const event of outcome.events) if (!("gone" in event)) this.learnHead(event);
     this.knownToMs = Math.max(this.knownToMs, sentMs);
     this.watch();
-    this.r.placer.requestPass();
+    this.leaderTerm.scheduler.requestCycle();
   }
 
   /**
@@ -204,13 +206,13 @@
 
   /** Sees to it that what waits is written within this time. */
   requestWrite(delayMs: number): void {
-    const atMs = this.o.clock.nowMs() + delayMs;
+    const atMs = this.options.clock.nowMs() + delayMs;
     if (this.writing || atMs >= this.writeAtMs) return;
     this.writeAtMs = atMs;
     this.timer?.cancel();
-    const { term } = this.r.mandate;
-    if (delayMs === 0) this.o.tell({ kind: "write", term });
-    else this.timer = this.o.clock.after(delayMs, () => this.o.tell({ kind: "write", term }));
+    const { term } = this.leaderTerm.lease;
+    if (delayMs === 0) this.options.tell({ kind: "write", term });
+    else this.timer = this.options.clock.after(delayMs, () => this.options.tell({ kind: "write", term }));
   }
 
   writeNow(): void {
@@ -219,12 +221,12 @@
   }
 
   private write(): void {
-    if (!this.r.loaded || this.writing) return;
-    if (!this.r.full()) {
+    if (!this.leaderTerm.loaded || this.writing) return;
+    if (!this.leaderTerm.mayWrite()) {
       this.heldBack = true;
       return;
     }
-    const { platform, state, clock } = this.o;
+    const { platform, state, clock } = this.options;
     const room = state.writeRoom();
     if (room < 1) {
       this.requestWrite(Math.max(10, state.writeWaitMs(1)));
@@ -233,46 +235,54 @@
     const limits = {
       changes: Math.min(platform.stateTxnOps, Math.max(room, 4)),
       // Results leave room for starts, and for what other controllers accept.
-      lazy: Math.max(1, room - LAZY_ROOM),
+      lazy: Math.max(1, room - DEFERRED_WRITE_RESERVE),
       bytes: 60 * 1024,
     };
-    const t = composeTransaction(this.r.jobs.values(), this.garbage, this.r.mandate.termVersion, limits);
-    if (this.r.rounds.moves && t.changes.length < limits.changes) {
+    const transaction = composeTransaction(
+      this.leaderTerm.jobs.values(),
+      this.garbage,
+      this.leaderTerm.lease.termVersion,
+      limits,
+    );
+    if (this.leaderTerm.rounds.moves && transaction.changes.length < limits.changes) {
       // A round's moves go in one write, before any of them begins.
-      t.guards.push({ key: keys.moves, version: this.movesVersion });
-      t.changes.push({ put: keys.moves, value: { term: this.r.mandate.term, moves: this.r.rounds.moves } });
-      t.moves = this.r.rounds.moves;
+      transaction.guards.push({ key: keys.moves, version: this.movesVersion });
+      transaction.changes.push({
+        put: keys.moves,
+        value: { term: this.leaderTerm.lease.term, moves: this.leaderTerm.rounds.moves },
+      });
+      transaction.moves = this.leaderTerm.rounds.moves;
     }
-    if (this.typesDirty && t.changes.length < limits.changes) {
-      t.guards.push({ key: keys.types, version: this.typesVersion });
-      t.changes.push({ put: keys.types, value: encodeTypes(this.estimates.types) });
-      t.types = true;
+    if (this.typesDirty && transaction.changes.length < limits.changes) {
+      transaction.guards.push({ key: keys.types, version: this.typesVersion });
+      transaction.changes.push({ put: keys.types, value: encodeTypes(this.estimates.types) });
+      transaction.types = true;
     }
-    if (t.changes.length === 0) {
+    if (transaction.changes.length === 0) {
       // What is pressing may just be larger than what we may write at the moment.
       if (this.hasUrgent()) this.requestWrite(Math.max(50, state.writeWaitMs(8)));
       return;
     }
     this.writing = true;
-    for (const part of t.parts) {
+    for (const part of transaction.parts) {
       if (!part.chunk) continue;
       part.chunk.dirty = false;
       part.chunk.urgent = false;
     }
-    const { term } = this.r.mandate;
+    const { term } = this.leaderTerm.lease;
     void state
-      .commit(t.guards, t.changes, clock.nowMs() + 2000)
-      .then((outcome) => this.o.tell({ kind: "committed", term, transaction: t, outcome }));
+      .commit(transaction.guards, transaction.changes, clock.nowMs() + 2000)
+      .then((outcome) => this.options.tell({ kind: "committed", term, transaction: transaction, outcome }));
   }
 
-  committed(t: Transaction, outcome: CommitOutcome): void {
+  committed(transaction: Transaction, outcome: CommitOutcome): void {
     this.writing = false;
     if (outcome.kind === "ok") {
-      this.applied(t, outcome.revision);
-      this.requestWrite(this.hasUrgent() ? 0 : LAZY_WRITE_MS);
+      this.applied(transaction, outcome.revision);
+      this.requestWrite(this.hasUrgent() ? 0 : DEFERRED_WRITE_MS);
       return;
     }
-    for (const part of t.parts) {
+    for (const part of transaction.parts) {
       if (!part.chunk) continue;
       part.chunk.dirty = true;
       // Planned attempts in it still wait.
@@ -280,7 +290,7 @@
     }
     if (outcome.kind === "conflict") {
       if (outcome.failed.includes(keys.term)) {
-        this.o.onDeposed(this.r.mandate.term);
+        this.options.onDeposed(this.leaderTerm.lease.term);
         return;
       }
       for (const key of outcome.failed) this.rereadKey(key);
@@ -292,57 +302,57 @@
   }
 
   private hasUrgent(): boolean {
-    for (const job of this.r.jobs.values()) {
+    for (const job of this.leaderTerm.jobs.values()) {
       if (job.over) return true;
       for (const c of job.chunks.values()) if (c.urgent) return true;
     }
-    return this.r.rounds.moves !== null;
+    return this.leaderTerm.rounds.moves !== null;
   }
 
-  private applied(t: Transaction, revision: number): void {
+  private applied(transaction: Transaction, revision: number): void {
     const touched = new Set<Machine>();
-    for (const key of t.garbage) this.garbage.delete(key);
-    for (const part of t.parts) {
+    for (const key of transaction.garbage) this.garbage.delete(key);
+    for (const part of transaction.parts) {
       if (!part.chunk) {
-        this.finished(part.job, t);
+        this.finished(part.job, transaction);
         continue;
       }
       part.chunk.version = revision;
       part.chunk.durableDone = part.done!;
-      for (const a of part.attempts) {
-        if (a.durable) continue;
-        a.durable = true;
-        if (a.machine.attempts.has(a)) touched.add(a.machine);
+      for (const attempt of part.attempts) {
+        if (attempt.durable) continue;
+        attempt.durable = true;
+        if (attempt.machine.attempts.has(attempt)) touched.add(attempt.machine);
       }
     }
-    if (t.moves) {
+    if (transaction.moves) {
       this.movesVersion = revision;
-      if (this.r.rounds.moves === t.moves) this.r.rounds.beginMoves();
+      if (this.leaderTerm.rounds.moves === transaction.moves) this.leaderTerm.rounds.beginMoves();
     }
-    if (t.types) {
+    if (transaction.types) {
       this.typesVersion = revision;
       this.typesDirty = false;
     }
-    for (const m of touched) this.r.supervisor.sendSoon(m);
+    for (const m of touched) this.leaderTerm.supervisor.sendCommands(m);
   }
 
-  private finished(job: Job, t: Transaction | null): void {
-    const dropped = new Set((t?.changes ?? []).map((c) => ("drop" in c ? c.drop : "")));
-    for (const c of job.chunks.values()) {
-      const key = keys.chunk(job.id, c.index);
-      if (c.version > 0 && !dropped.has(key)) this.garbage.set(key, c.version);
+  private finished(job: Job, transaction: Transaction | null): void {
+    const dropped = new Set((transaction?.changes ?? []).map((c) => ("drop" in c ? c.drop : "")));
+    for (const chunk of job.chunks.values()) {
+      const key = keys.chunk(job.id, chunk.index);
+      if (chunk.version > 0 && !dropped.has(key)) this.garbage.set(key, chunk.version);
     }
-    this.r.jobsVersion++;
-    this.r.jobs.delete(job.id);
-    this.r.rounds.prefer.delete(job.id);
+    this.leaderTerm.jobsVersion++;
+    this.leaderTerm.jobs.delete(job.id);
+    this.leaderTerm.rounds.prefer.delete(job.id);
   }
 
   private rereadKey(key: string): void {
     if (this.rereading.has(key)) return;
     this.rereading.add(key);
-    const { term } = this.r.mandate;
-    void this.o.state.get(key, this.o.clock.nowMs() + 2000).then((got) => {
-      this.o.tell({
+    const { term } = this.leaderTerm.lease;
+    void this.options.state.get(key, this.options.clock.nowMs() + 2000).then((got) => {
+      this.options.tell({
         kind: "reread",
         term,
         key,
@@ -356,13 +366,13 @@
   reread(key: string, item: Item | null, ok: boolean): void {
     this.rereading.delete(key);
     if (!ok) {
-      this.o.clock.after(200, () => {
-        if (!this.r.over) this.rereadKey(key);
+      this.options.clock.after(200, () => {
+        if (!this.leaderTerm.over) this.rereadKey(key);
       });
       return;
     }
     const [prefix, id, index] = key.split("/");
-    const job = this.r.jobs.get(id ?? "");
+    const job = this.leaderTerm.jobs.get(id ?? "");
     if (prefix === "j" && job) {
       if (item) this.learnHead(item);
       else this.rereadKey(keys.final(job.id));
--- a/src/coordination/magnet/release.ts
+++ b/src/coordination/magnet/release.ts
@@ -18,18 +18,20 @@
 ): Move[] {
   const moves: Move[] = [];
   const taken = new Set<string>();
-  for (const m of machines) {
+  for (const machine of machines) {
     if (moves.length >= limits.moveCap) break;
-    if (m.measured <= m.requested + 1e-9 || m.measured <= limits.violate) continue;
-    const size = (t: LoadedTask): number => loadOf(t, m.total);
-    const able = m.tasks.filter((t) => t.movable).sort((a, b) => size(b) - size(a));
+    if (machine.measured <= machine.requested + 1e-9 || machine.measured <= limits.violate) continue;
+    const size = (t: LoadedTask): number => loadOf(t, machine.total);
+    const able = machine.tasks.filter((t) => t.movable).sort((a, b) => size(b) - size(a));
     const light = machines
-      .filter((o) => o !== m && o.open && !taken.has(o.name) && ringOf(o.measured, limits.degrad) === "outer")
+      .filter(
+        (o) => o !== machine && o.open && !taken.has(o.name) && ringOf(o.measured, limits.degrad) === "outer",
+      )
       .sort((a, b) => a.measured - b.measured);
-    search: for (const t of able) {
+    search: for (const task of able) {
       for (const to of light) {
-        if (!t.mayMoveTo(to.name) || to.measured + loadOf(t, to.total) > limits.degrad) continue;
-        moves.push({ ref: t.ref, from: m.name, to: to.name });
+        if (!task.mayMoveTo(to.name) || to.measured + loadOf(task, to.total) > limits.degrad) continue;
+        moves.push({ ref: task.ref, from: machine.name, to: to.name });
         taken.add(to.name);
         break search;
       }
--- a/src/coordination/magnet/rounds.ts
+++ b/src/coordination/magnet/rounds.ts
@@ -1,8 +1,8 @@
 import type { Attempt } from "../../bookkeeping/jobs.js";
 import { log } from "../../transport/log.js";
-import type { LeaderOptions } from "../leader.js";
-import type { LeaderTerm } from "../leaderTerm.js";
-import { allows, zoneRoom } from "../views.js";
+import type { LeaderOptions } from "../leadership/leader.js";
+import type { LeaderTerm } from "../leadership/leaderTerm.js";
+import { allows, zoneRoom } from "../scheduling/views.js";
 import { release, type MeasuredMachine } from "./release.js";
 import { loadOf, ringOf } from "./rings.js";
 import { squeeze, type LoadedTask, type Move } from "./squeeze.js";
@@ -15,61 +15,64 @@
   readonly prefer = new Map<string, { machine: string; untilMs: number }>();
 
   constructor(
-    private readonly r: LeaderTerm,
-    private readonly o: LeaderOptions,
+    private readonly leaderTerm: LeaderTerm,
+    private readonly options: LeaderOptions,
   ) {
-    this.lastRoundMs = o.clock.nowMs();
+    this.lastRoundMs = options.clock.nowMs();
   }
 
   round(now: number): void {
     this.lastRoundMs = now;
-    if (this.moves || now - this.r.startedMs < 2 * this.o.platform.reportS * 1000) return;
-    const { degrad, violate, moveCap, elapseS } = this.o.operator;
+    if (this.moves || now - this.leaderTerm.startedMs < 2 * this.options.platform.reportS * 1000) return;
+    const { degrad, violate, moveCap, elapseS } = this.options.operator;
     const refs: Attempt[] = [];
     const machines: MeasuredMachine[] = [];
-    for (const m of this.r.machines.values()) {
-      if (m.state !== "up" || !m.type) continue;
-      const requested = loadOf(m.used, m.type);
+    for (const machine of this.leaderTerm.machines.values()) {
+      if (machine.state !== "up" || !machine.type) continue;
+      const requested = loadOf(machine.used, machine.type);
       // Most machines are in the inner rings and use what they were asked to: neither squeeze nor release looks there.
-      if (ringOf(requested, degrad) !== "outer" && m.reported.length <= m.attempts.size) continue;
+      if (ringOf(requested, degrad) !== "outer" && machine.reported.length <= machine.attempts.size) continue;
       // A late report would move tasks that have already left.
-      const fresh = now - m.lastHeardMs < this.o.platform.reportS * 1500;
+      const fresh = now - machine.lastHeardMs < this.options.platform.reportS * 1500;
       const tasks: LoadedTask[] = [];
       let whole = fresh;
       const measuredUse = { cpus: 0, gpus: 0, memoryGb: 0 };
-      for (const t of m.reported) {
-        const spec = this.r.jobs.get(t.jobId)?.spec;
-        if (t.phase === "exited" || !spec) continue;
+      for (const task of machine.reported) {
+        const spec = this.leaderTerm.jobs.get(task.jobId)?.spec;
+        if (task.phase === "exited" || !spec) continue;
         measuredUse.cpus += spec.cpus;
         measuredUse.gpus += spec.gpus;
         measuredUse.memoryGb += spec.memoryGb;
       }
-      for (const a of m.attempts) {
-        const { spec } = a.job;
-        if (a.stop || a.phase === null) whole = false;
-        const young = a.runningMs === null ? a.phase === "fetching" : now - a.runningMs < elapseS * 1000;
+      for (const attempt of machine.attempts) {
+        const { spec } = attempt.job;
+        if (attempt.stop || attempt.phase === null) whole = false;
+        const young =
+          attempt.runningMs === null
+            ? attempt.phase === "fetching"
+            : now - attempt.runningMs < elapseS * 1000;
         const movable =
           whole &&
-          a.stop === null &&
+          attempt.stop === null &&
           spec.kind !== "service" &&
           (spec.kind !== "gang" || spec.tasks === 1) &&
-          (spec.checkpointS > 0 ? a.phase === "running" : young);
+          (spec.checkpointS > 0 ? attempt.phase === "running" : young);
         tasks.push({
-          ref: refs.push(a) - 1,
-          jobId: a.job.id,
+          ref: refs.push(attempt) - 1,
+          jobId: attempt.job.id,
           cpus: spec.cpus,
           gpus: spec.gpus,
           memoryGb: spec.memoryGb,
           movable,
-          mayMoveTo: (name) => this.mayMove(a, name),
+          mayMoveTo: (name) => this.mayMove(attempt, name),
         });
       }
       machines.push({
-        name: m.name,
-        total: m.type,
+        name: machine.name,
+        total: machine.type,
         tasks,
-        open: whole && !m.cordoned && m.takenAtMs === null,
-        measured: loadOf(measuredUse, m.type),
+        open: whole && !machine.cordoned && machine.takenAtMs === null,
+        measured: loadOf(measuredUse, machine.type),
         requested,
       });
     }
@@ -80,31 +83,32 @@
     if (moves.length === 0) return;
     this.moves = moves;
     this.movesRefs = new Map(moves.map((mv) => [mv.ref, refs[mv.ref]!]));
-    this.r.archive.requestWrite(0);
+    this.leaderTerm.recordStore.requestWrite(0);
   }
 
-  private mayMove(a: Attempt, name: string): boolean {
-    const m = this.r.machines.get(name);
-    const { spec } = a.job;
-    if (!m?.type || m.cordoned || !allows(spec, m.type.name, m.zone, m.spot)) return false;
+  private mayMove(attempt: Attempt, name: string): boolean {
+    const machine = this.leaderTerm.machines.get(name);
+    const { spec } = attempt.job;
+    if (!machine?.type || machine.cordoned || !allows(spec, machine.type.name, machine.zone, machine.spot))
+      return false;
     const zones = new Map<string, number>();
-    for (const b of a.job.attempts)
-      if (b !== a) zones.set(b.machine.zone, (zones.get(b.machine.zone) ?? 0) + 1);
-    return zoneRoom(spec, zones, m.zone) > 0;
+    for (const b of attempt.job.attempts)
+      if (b !== attempt) zones.set(b.machine.zone, (zones.get(b.machine.zone) ?? 0) + 1);
+    return zoneRoom(spec, zones, machine.zone) > 0;
   }
 
   /** The round's moves are durable: now they begin, each as a stop here and a start there. */
   beginMoves(): void {
     const moves = this.moves ?? [];
     this.moves = null;
-    const now = this.o.clock.nowMs();
+    const now = this.options.clock.nowMs();
     for (const mv of moves) {
-      const a = this.movesRefs.get(mv.ref);
-      if (!a || a.stop || !a.machine.attempts.has(a)) continue;
-      log.info(`moving ${a.job.id}/${a.task} from ${mv.from} to ${mv.to}`);
-      this.prefer.set(a.job.id, { machine: mv.to, untilMs: now + 5000 });
-      a.job.avoid.set(mv.from, now + this.o.operator.elapseS * 2000);
-      this.r.attempts.stopOrderly(a);
+      const attempt = this.movesRefs.get(mv.ref);
+      if (!attempt || attempt.stop || !attempt.machine.attempts.has(attempt)) continue;
+      log.info(`moving ${attempt.job.id}/${attempt.task} from ${mv.from} to ${mv.to}`);
+      this.prefer.set(attempt.job.id, { machine: mv.to, untilMs: now + 5000 });
+      attempt.job.avoid.set(mv.from, now + this.options.operator.elapseS * 2000);
+      this.leaderTerm.attempts.stopOrderly(attempt);
     }
     this.movesRefs.clear();
   }
--- a/src/coordination/magnet/squeeze.ts
+++ b/src/coordination/magnet/squeeze.ts
@@ -40,12 +40,12 @@
   moveCap: number;
 }
 
-function used(m: LoadedMachine): Capacity {
+function used(machine: LoadedMachine): Capacity {
   const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
-  for (const t of m.tasks) {
-    sum.cpus += t.cpus;
-    sum.gpus += t.gpus;
-    sum.memoryGb += t.memoryGb;
+  for (const task of machine.tasks) {
+    sum.cpus += task.cpus;
+    sum.gpus += task.gpus;
+    sum.memoryGb += task.memoryGb;
   }
   return sum;
 }
--- a/src/coordination/cloudDesk.ts
+++ b/src/coordination/provisioning/cloudClient.ts
@@ -1,4 +1,4 @@
-import type { ListedMachine, MachineType } from "../protocol/model.js";
+import type { ListedMachine, MachineType } from "../../protocol/model.js";
 import {
   cloudPaths,
   decodeListed,
@@ -7,12 +7,12 @@
   encodeRemove,
   encodeRent,
   isNoCapacity,
-} from "../protocol/cloud.js";
-import { Bucket } from "../transport/bucket.js";
-import type { Clock } from "../transport/clock.js";
-import type { HttpCaller, Reply } from "../transport/httpClient.js";
-import { Actor } from "../transport/mailbox.js";
-import { log } from "../transport/log.js";
+} from "../../protocol/cloud.js";
+import { TokenBucket } from "../../transport/tokenBucket.js";
+import type { Clock } from "../../transport/clock.js";
+import type { HttpCaller, Reply } from "../../transport/httpClient.js";
+import { Actor } from "../../transport/mailbox.js";
+import { log } from "../../transport/log.js";
 
 export interface RentOrder {
   /** Never used again by anybody: made of the term and a counter. */
@@ -54,8 +54,8 @@
  * The one place that talks to the cloud: within its rate, with bounded backoff. A rental with no clear answer
  * is repeated under its own name until the answer is clear, so nothing is rented twice.
  */
-export class CloudDesk extends Actor<Message> {
-  private readonly bucket: Bucket;
+export class CloudClient extends Actor<Message> {
+  private readonly bucket: TokenBucket;
   private readonly rents: RentOrder[] = [];
   private readonly removals = new Set<string>();
   private wantList = false;
@@ -75,7 +75,7 @@
     private readonly onNews: (news: CloudNews) => void,
   ) {
     super();
-    this.bucket = new Bucket(rps * 0.85, Math.max(1, rps * 1.2), clock.nowMs());
+    this.bucket = new TokenBucket(rps * 0.85, Math.max(1, rps * 1.2), clock.nowMs());
   }
 
   protected override failed(message: Message, error: unknown): void {
@@ -175,8 +175,12 @@
   private request(work: Work): [string, string, unknown] {
     switch (work.kind) {
       case "rent": {
-        const o = work.order;
-        return ["POST", cloudPaths.rent, encodeRent(o.request, o.type, o.zone, o.spot, o.count)];
+        const order = work.order;
+        return [
+          "POST",
+          cloudPaths.rent,
+          encodeRent(order.request, order.type, order.zone, order.spot, order.count),
+        ];
       }
       case "remove":
         return ["POST", cloudPaths.remove, encodeRemove(work.names)];
--- a/src/coordination/renter.ts
+++ b/src/coordination/provisioning/provisioner.ts
@@ -1,72 +1,72 @@
-import type { JobSpec, ListedMachine } from "../protocol/model.js";
-import type { Machine } from "../bookkeeping/machines.js";
-import { log } from "../transport/log.js";
-import type { CloudNews, RentOrder } from "./cloudDesk.js";
-import type { LeaderOptions } from "./leader.js";
-import { wishToRent } from "./fleet.js";
-import type { Estimates } from "./estimates.js";
-import type { PlacementPlan } from "./placement.js";
-import type { LeaderTerm } from "./leaderTerm.js";
-import { allows, howMany, type MachineView } from "./views.js";
+import type { JobSpec, ListedMachine } from "../../protocol/model.js";
+import type { Machine } from "../../bookkeeping/machines.js";
+import { log } from "../../transport/log.js";
+import type { CloudNews, RentOrder } from "./cloudClient.js";
+import type { LeaderOptions } from "../leadership/leader.js";
+import { planRentals } from "./rentalPlan.js";
+import type { Estimates } from "../scheduling/estimates.js";
+import type { PlacementPlan } from "../scheduling/placementPlan.js";
+import type { LeaderTerm } from "../leadership/leaderTerm.js";
+import { allows, howMany, type MachineView } from "../scheduling/views.js";
 
 /** What the cloud refused is asked for again after this, then after twice as long, and so on. */
 const FIRST_REFUSED_MS = 8000;
 const MAX_REFUSED_MS = 40_000;
 /** Rentals under way at the same time. */
 const MAX_ORDERS = 4;
-/** The cloud takes a few calls a second; what to ask it is not thought over at every pass. */
+/** The cloud takes a few calls a second; what to ask it is not thought over at every cycle. */
 const RENT_EVERY_MS = 200;
-/** Machines that one pass may want. */
+/** Machines that one cycle may want. */
 const MAX_MACHINES = 250;
 
 /** Owns the orders to the cloud: what is rented, what was refused, what is given back. */
-export class Renter {
-  readonly renting = new Map<string, RentOrder>();
+export class Provisioner {
+  readonly openOrders = new Map<string, RentOrder>();
   private readonly refusedUntilMs = new Map<string, number>();
   /** Refusals in a row, by type, zone and kind. */
   private readonly refusals = new Map<string, number>();
   private nextRequest = 0;
-  private lastWishMs = -Infinity;
+  private lastPlanMs = -Infinity;
 
   constructor(
-    private readonly r: LeaderTerm,
-    private readonly o: LeaderOptions,
+    private readonly leaderTerm: LeaderTerm,
+    private readonly options: LeaderOptions,
     private readonly estimates: Estimates,
   ) {}
 
   /** What the cloud said of machines. */
-  heard(news: Exclude<CloudNews, { kind: "types" }>): void {
-    const now = this.o.clock.nowMs();
+  receiveNews(news: Exclude<CloudNews, { kind: "types" }>): void {
+    const now = this.options.clock.nowMs();
     switch (news.kind) {
       case "rented":
         // Of an earlier term of ours: they show up in reports and lists.
-        if (!this.renting.delete(news.order.request)) return;
+        if (!this.openOrders.delete(news.order.request)) return;
         for (const name of news.names) {
-          if (this.r.removed.has(name)) continue;
-          const m = this.r.machine(name, news.order.zone);
-          m.spot = news.order.spot;
-          m.type ??= this.estimates.typeNamed(news.order.type);
+          if (this.leaderTerm.removed.has(name)) continue;
+          const machine = this.leaderTerm.machine(name, news.order.zone);
+          machine.spot = news.order.spot;
+          machine.type ??= this.estimates.typeNamed(news.order.type);
         }
         if (news.names.length > 0) this.available(news.order.type, news.order.zone, news.order.spot);
         if (news.names.length < news.order.count) this.refused(news.order, now);
-        this.r.placer.requestPass();
+        this.leaderTerm.scheduler.requestCycle();
         break;
       case "no capacity":
-        if (!this.renting.delete(news.order.request)) return;
+        if (!this.openOrders.delete(news.order.request)) return;
         this.refused(news.order, now);
-        this.r.placer.requestPass();
+        this.leaderTerm.scheduler.requestCycle();
         break;
       case "removed":
         for (const name of news.names) {
-          this.r.removed.add(name);
-          const m = this.r.machines.get(name);
+          this.leaderTerm.removed.add(name);
+          const m = this.leaderTerm.machines.get(name);
           if (!m) continue;
           if (m.type) this.available(m.type.name, m.zone, m.spot);
           // The cloud's 200 to a deletion: the machine and everything on it is gone.
-          for (const a of [...m.attempts]) this.r.attempts.lost(a);
-          this.r.machines.delete(name);
+          for (const a of [...m.attempts]) this.leaderTerm.attempts.lost(a);
+          this.leaderTerm.machines.delete(name);
         }
-        this.r.placer.requestPass();
+        this.leaderTerm.scheduler.requestCycle();
         break;
       case "listed":
         for (const l of news.machines) this.listed(l, now);
@@ -74,22 +74,22 @@
     }
   }
 
-  private listed(l: ListedMachine, now: number): void {
-    if (this.r.removed.has(l.name)) return;
-    const known = this.r.machines.get(l.name);
-    const m = known ?? this.r.machine(l.name, l.zone);
+  private listed(listed: ListedMachine, now: number): void {
+    if (this.leaderTerm.removed.has(listed.name)) return;
+    const known = this.leaderTerm.machines.get(listed.name);
+    const machine = known ?? this.leaderTerm.machine(listed.name, listed.zone);
     if (!known) {
-      m.spot = l.spot;
+      machine.spot = listed.spot;
       // Its age is the cloud's to tell: one that never comes up must not look young to each new leader.
-      m.bornMs = now - l.ageS * 1000;
-      log.info(`${l.name}: found in the cloud's list (${l.type} ${l.zone}, ${l.phase})`);
+      machine.bornMs = now - listed.ageS * 1000;
+      log.info(`${listed.name}: found in the cloud's list (${listed.type} ${listed.zone}, ${listed.phase})`);
     }
-    m.type ??= this.estimates.typeNamed(l.type);
-    if (m.zone === "") m.zone = l.zone;
-    if (m.address === "") m.address = l.address;
-    if (m.state === "booting") m.spot = l.spot;
-    if (l.phase === "running") m.listedUp = true;
-    if (l.phase === "failed") this.remove(m, "failed");
+    machine.type ??= this.estimates.typeNamed(listed.type);
+    if (machine.zone === "") machine.zone = listed.zone;
+    if (machine.address === "") machine.address = listed.address;
+    if (machine.state === "booting") machine.spot = listed.spot;
+    if (listed.phase === "running") machine.listedUp = true;
+    if (listed.phase === "failed") this.remove(machine, "failed");
   }
 
   /** One was granted, or has just been given back: asking makes sense again. */
@@ -117,24 +117,24 @@
     this.refusedUntilMs.set(key, now + Math.min(MAX_REFUSED_MS, FIRST_REFUSED_MS * 2 ** before));
   }
 
-  remove(m: Machine, reason: string): void {
-    if (m.state === "leaving") return;
-    log.info(`${m.name}: given back: ${reason}`);
-    m.state = "leaving";
-    this.o.cloud.tell({ kind: "remove", names: [m.name] });
+  remove(machine: Machine, reason: string): void {
+    if (machine.state === "leaving") return;
+    log.info(`${machine.name}: given back: ${reason}`);
+    machine.state = "leaving";
+    this.options.cloud.tell({ kind: "remove", names: [machine.name] });
   }
 
   rent(plan: PlacementPlan, coming: MachineView[]): void {
     if (plan.unplaced.length === 0) return;
-    const now = this.o.clock.nowMs();
-    if (now - this.lastWishMs < RENT_EVERY_MS) return;
-    this.lastWishMs = now;
+    const now = this.options.clock.nowMs();
+    if (now - this.lastPlanMs < RENT_EVERY_MS) return;
+    this.lastPlanMs = now;
     // A task that fits nowhere first triggers a squeeze; only what still waits then rents.
-    if (now - this.r.rounds.lastRoundMs > 1000) this.r.rounds.round(now);
-    if (this.renting.size >= MAX_ORDERS) return;
+    if (now - this.leaderTerm.rounds.lastRoundMs > 1000) this.leaderTerm.rounds.round(now);
+    if (this.openOrders.size >= MAX_ORDERS) return;
     const refused = new Set<string>();
     for (const [key, untilMs] of this.refusedUntilMs) if (untilMs > now) refused.add(key);
-    const wishes = wishToRent({
+    const targets = planRentals({
       unplaced: plan.unplaced,
       types: this.estimates.types,
       coming,
@@ -142,24 +142,28 @@
       maxMachines: MAX_MACHINES,
       claim: (type, spot) => this.estimates.claimOn(type, spot),
     });
-    for (const w of wishes) {
+    for (const target of targets) {
       // The cloud answers a few calls a second: one question at a time about each kind of machine, few under way,
       // so that what the most important work needs is never behind a queue of stale questions.
-      if (this.renting.size >= MAX_ORDERS) break;
-      if ([...this.renting.values()].some((o) => o.type === w.type && o.zone === w.zone && o.spot === w.spot))
+      if (this.openOrders.size >= MAX_ORDERS) break;
+      if (
+        [...this.openOrders.values()].some(
+          (o) => o.type === target.type && o.zone === target.zone && o.spot === target.spot,
+        )
+      )
         continue;
       // Made of the term and a counter, so no other node or life ever uses the name (the cloud would answer
       // it with the machines of the first use).
       const order: RentOrder = {
-        ...w,
-        count: Math.min(50, w.count),
-        request: `t${this.r.mandate.term}-${++this.nextRequest}`,
+        ...target,
+        count: Math.min(50, target.count),
+        request: `t${this.leaderTerm.lease.term}-${++this.nextRequest}`,
       };
-      this.renting.set(order.request, order);
+      this.openOrders.set(order.request, order);
       log.info(
         `renting ${order.count} ${order.type} in ${order.zone}${order.spot ? " (spot)" : ""}: ${order.request}`,
       );
-      this.o.cloud.tell({ kind: "rent", order });
+      this.options.cloud.tell({ kind: "rent", order });
     }
   }
 }
--- a/src/coordination/fleet.ts
+++ b/src/coordination/provisioning/rentalPlan.ts
@@ -1,15 +1,15 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
-import type { Claim, JobView, MachineView } from "./views.js";
-import { allows, emptyView, fits, howMany, takeFrom, zoneRoom } from "./views.js";
+import type { JobSpec, MachineType } from "../../protocol/model.js";
+import type { Claim, JobView, MachineView } from "../scheduling/views.js";
+import { allows, emptyView, fits, howMany, takeFrom, zoneRoom } from "../scheduling/views.js";
 
-export interface RentWish {
+export interface RentTarget {
   type: string;
   zone: string;
   spot: boolean;
   count: number;
 }
 
-export interface FleetInput {
+export interface RentalInput {
   /** A gang's rest is wanted in that zone. */
   unplaced: { job: JobView; tasks: number; zone: string | null }[];
   types: MachineType[];
@@ -26,25 +26,25 @@
  * Room is not bought at more than this many times what the cheapest ordinary room costs: beyond it, waiting for
  * what is there is the better bargain, however urgent the work.
  */
-const DEAREST = 3;
+const MAX_PRICE_FACTOR = 3;
 
 /**
  * What to rent for the work that found no place: first what is on its way is filled, in thought, and only
  * what is still left rents more, at the lowest price for each task that the machine would really hold. Pure.
  */
-export function wishToRent(input: FleetInput): RentWish[] {
-  const wishes = new Map<string, RentWish>();
+export function planRentals(input: RentalInput): RentTarget[] {
+  const targets = new Map<string, RentTarget>();
   const virtual = [...input.coming];
   let machines = 0;
   for (const { job, tasks, zone: only } of input.unplaced) {
     const { spec } = job;
     const zones = new Map(job.zones);
     let left = tasks;
-    const put = (m: MachineView): void => {
-      const n = Math.min(left, howMany(spec, m.free), zoneRoom(spec, zones, m.zone));
+    const put = (machine: MachineView): void => {
+      const n = Math.min(left, howMany(spec, machine.free), zoneRoom(spec, zones, machine.zone));
       if (n <= 0) return;
-      takeFrom(m.free, spec, n);
-      zones.set(m.zone, (zones.get(m.zone) ?? 0) + n);
+      takeFrom(machine.free, spec, n);
+      zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + n);
       left -= n;
     };
     for (const m of virtual) {
@@ -68,7 +68,7 @@
             if (spec.gpus === 0 && type.gpus > 0 && input.claim(type, spot)) continue;
             const used = Math.min(holds, left, room);
             const price = spot ? type.spotPrice : type.price;
-            if (price / holds > cheapest * DEAREST) continue;
+            if (price / holds > cheapest * MAX_PRICE_FACTOR) continue;
             const cost = (price / used) * (1 + type.bootS / 100);
             if (!best || cost < best.cost - 1e-9) best = { type, zone, spot, cost };
           }
@@ -77,25 +77,25 @@
       if (!best) break;
       const { type, zone, spot } = best;
       const key = `${type.name} ${zone} ${spot}`;
-      const wish = wishes.get(key) ?? { type: type.name, zone, spot, count: 0 };
-      wish.count++;
-      wishes.set(key, wish);
+      const target = targets.get(key) ?? { type: type.name, zone, spot, count: 0 };
+      target.count++;
+      targets.set(key, target);
       machines++;
       const fresh = emptyView(type, zone, spot, input.claim(type, spot));
       virtual.push(fresh);
       put(fresh);
     }
   }
-  return [...wishes.values()];
+  return [...targets.values()];
 }
 
 /** Lowest ordinary price of one task's room. */
 function ordinaryPrice(spec: JobSpec, types: MachineType[]): number {
   let lowest = Infinity;
-  for (const t of types) {
-    const holds = howMany(spec, { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
-    if (holds > 0 && (spec.types === null || spec.types.includes(t.name)))
-      lowest = Math.min(lowest, t.price / holds);
+  for (const type of types) {
+    const holds = howMany(spec, { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb });
+    if (holds > 0 && (spec.types === null || spec.types.includes(type.name)))
+      lowest = Math.min(lowest, type.price / holds);
   }
   return lowest;
 }
--- a/src/coordination/ackBound.ts
+++ b/src/coordination/reports/acknowledgementLimits.ts
@@ -1,26 +1,26 @@
-import type { Job } from "../bookkeeping/jobs.js";
-import type { Machine } from "../bookkeeping/machines.js";
-import { log } from "../transport/log.js";
-import { ackLimitMs } from "./fences.js";
-import { GRANT_MS } from "./servers.js";
+import type { Job } from "../../bookkeeping/jobs.js";
+import type { Machine } from "../../bookkeeping/machines.js";
+import { log } from "../../transport/log.js";
+import { ackLimitMs } from "../leadership/leaseExpiry.js";
+import { GRANT_MS } from "./reportServerRegistry.js";
 
 /** What the leader and those under its grants may acknowledge, by what it knows of cancellations (`ackLimitMs`). */
-export class AckBound {
+export class AcknowledgementLimits {
   /** Nothing after that. Before the records are read nothing is known, so nothing at all. */
   untilMs = -Infinity;
   /**
    * Machines with a cancelled task that has not shown in time that it is gone: hung, out of the commands' reach, or heard
    * of too late. They are left to their leases, whatever else runs there.
    */
-  barred: string[] = [];
-  /** The end for machines with a cancelled task, by zone, those that are barred aside. */
+  quarantined: string[] = [];
+  /** The end for machines with a cancelled task, by zone, those that are quarantined aside. */
   private readonly zones = new Map<string, number>();
 
-  constructor(private readonly o: { cancelS: number; leaseS: number; clockErrorMs: number }) {}
+  constructor(private readonly options: { cancelS: number; leaseS: number; clockErrorMs: number }) {}
 
   /** Keeps to what was known at `nowMs`: what has been learned since only adds to it. */
   update(knownMs: number, jobs: Iterable<Job>, nowMs: number, today: Date): void {
-    const { cancelS, leaseS, clockErrorMs } = this.o;
+    const { cancelS, leaseS, clockErrorMs } = this.options;
     this.untilMs = ackLimitMs(knownMs, cancelS, leaseS);
     this.zones.clear();
     const limits = new Map<Machine, number>();
@@ -32,16 +32,16 @@
       for (const { machine } of job.attempts)
         limits.set(machine, Math.min(limits.get(machine) ?? Infinity, limitMs));
     }
-    const barred: string[] = [];
+    const quarantined: string[] = [];
     for (const [machine, limitMs] of limits) {
       // Whoever has a grant may use it to its end without hearing of this.
-      if (nowMs + GRANT_MS + BARRED_AHEAD_MS >= limitMs) {
-        barred.push(machine.name);
-        if (!this.barred.includes(machine.name))
+      if (nowMs + GRANT_MS + QUARANTINE_AHEAD_MS >= limitMs) {
+        quarantined.push(machine.name);
+        if (!this.quarantined.includes(machine.name))
           log.info(`${machine.name}: a cancelled task stays, left to its lease`);
       } else this.zones.set(machine.zone, Math.min(this.zones.get(machine.zone) ?? Infinity, limitMs));
     }
-    this.barred = barred;
+    this.quarantined = quarantined;
   }
 
   /** For workers of that zone, whoever is cut off with them. Where a machine is not known, it may be there. */
@@ -51,4 +51,4 @@
 }
 
 /** The limits are worked out anew each tick, and a grant counts from when it was asked for. */
-const BARRED_AHEAD_MS = 500;
+const QUARANTINE_AHEAD_MS = 500;
--- a/src/coordination/toldCancels.ts
+++ b/src/coordination/reports/confirmedCancellations.ts
@@ -1,4 +1,4 @@
-import type { ToldCancel } from "../protocol/peers.js";
+import type { ConfirmedCancellation } from "../../protocol/peers.js";
 
 /** More that the leader has not confirmed are not kept: from then on only its own reading counts. */
 const KEPT = 4096;
@@ -6,22 +6,22 @@
 const IN_FRAME = 500;
 
 /** What a frame to the leader says of cancellations that users were told here. */
-export interface ToldPart {
-  told: ToldCancel[];
+export interface CancellationUpdate {
+  cancellations: ConfirmedCancellation[];
   /** Number of the last of them; the leader's grants say up to which it has taken them over. */
-  toldSeq: number;
+  cancellationSeq: number;
   /** With it the leader has been told of all. */
-  toldAll: boolean;
+  cancellationsComplete: boolean;
 }
 
 /**
  * The cancellations that this process has told users of and the leader may not know: the leader reads them from the
  * state service as well, unless that refuses it while it serves us (docs/incidents/gap.md).
  */
-export class ToldCancels {
+export class ConfirmedCancellations {
   private readonly entries = new Map<string, { seq: number; at: Date; atMs: number }>();
   private seq = 0;
-  private takenSeq = 0;
+  private acknowledgedSeq = 0;
   private overflowMs = -Infinity;
 
   constructor(
@@ -41,15 +41,15 @@
   }
 
   /** A new leader knows nothing yet. */
-  begin(): void {
-    this.takenSeq = 0;
+  beginTerm(): void {
+    this.acknowledgedSeq = 0;
   }
 
-  taken(seq: number): void {
-    this.takenSeq = Math.max(this.takenSeq, seq);
+  acknowledgedUpTo(seq: number): void {
+    this.acknowledgedSeq = Math.max(this.acknowledgedSeq, seq);
   }
 
-  forget(nowMs: number): void {
+  expire(nowMs: number): void {
     // In the order in which they were told.
     for (const [id, e] of this.entries) {
       if (nowMs - e.atMs < this.keepMs) break;
@@ -57,19 +57,19 @@
     }
   }
 
-  part(nowMs: number): ToldPart {
-    const told: ToldCancel[] = [];
-    let toldSeq = this.takenSeq;
-    let toldAll = nowMs - this.overflowMs > this.keepMs;
+  nextUpdate(nowMs: number): CancellationUpdate {
+    const cancellations: ConfirmedCancellation[] = [];
+    let cancellationSeq = this.acknowledgedSeq;
+    let cancellationsComplete = nowMs - this.overflowMs > this.keepMs;
     for (const [id, e] of this.entries) {
-      if (e.seq <= this.takenSeq) continue;
-      if (told.length >= IN_FRAME) {
-        toldAll = false;
+      if (e.seq <= this.acknowledgedSeq) continue;
+      if (cancellations.length >= IN_FRAME) {
+        cancellationsComplete = false;
         break;
       }
-      told.push({ id, at: e.at });
-      toldSeq = e.seq;
+      cancellations.push({ id, at: e.at });
+      cancellationSeq = e.seq;
     }
-    return { told, toldSeq, toldAll };
+    return { cancellations, cancellationSeq, cancellationsComplete };
   }
 }
--- a/src/coordination/reportServer.ts
+++ b/src/coordination/reports/reportServer.ts
@@ -1,34 +1,34 @@
-import type { Heard, Report, SeenReport } from "../protocol/model.js";
-import type { Grant, PeerMessage, Serving } from "../protocol/peers.js";
-import { encodeElsewhere, encodeResponse } from "../protocol/workers.js";
-import type { Clock, Timer } from "../transport/clock.js";
-import type { Answer } from "../transport/httpServer.js";
-import { Actor } from "../transport/mailbox.js";
-import { log } from "../transport/log.js";
-import type { ElectionNews, Mandate } from "./election.js";
-import { DRIFT, firstToken } from "./fences.js";
-import { ToldCancels } from "./toldCancels.js";
+import type { UnchangedReport, Report, ReceivedReport } from "../../protocol/model.js";
+import type { Grant, PeerMessage, ReportServerUpdate } from "../../protocol/peers.js";
+import { encodeElsewhere, encodeResponse } from "../../protocol/workers.js";
+import type { Clock, Timer } from "../../transport/clock.js";
+import type { Answer } from "../../transport/httpServer.js";
+import { Actor } from "../../transport/mailbox.js";
+import { log } from "../../transport/log.js";
+import type { ElectionNews, LeadershipLease } from "../leadership/election.js";
+import { DRIFT, firstToken } from "../leadership/leaseExpiry.js";
+import { ConfirmedCancellations } from "./confirmedCancellations.js";
 
 type Message =
   | { kind: "election"; news: ElectionNews }
   | { kind: "report"; report: Report; reply: (answer: Answer) => void }
   | { kind: "grant"; grant: Grant }
-  | { kind: "homes"; homes: Grant["homes"] }
-  | { kind: "ack limits"; limits: AckLimits }
-  | { kind: "cancel told"; id: string; at: Date }
-  | { kind: "alone"; from: string; term: number }
+  | { kind: "servers"; servers: Grant["servers"] }
+  | { kind: "limits"; limits: ReportServerLimits }
+  | { kind: "cancellation confirmed"; id: string; at: Date }
+  | { kind: "isolated"; from: string; term: number }
   | { kind: "flush" }
   | { kind: "tick" };
 
 /** What the leader beside us lets us acknowledge; followers hear it in their grants. */
-export interface AckLimits {
+export interface ReportServerLimits {
   term: number;
   untilMs: number;
   /** Our own zone's workers, if we are cut off with them. */
-  homeUntilMs: number;
-  barred: string[];
+  zoneUntilMs: number;
+  quarantined: string[];
   /** The cancellations told here up to that one are known to it. */
-  toldSeq: number;
+  cancellationSeq: number;
 }
 
 export interface ReportServerOptions {
@@ -41,19 +41,19 @@
   clock: Clock;
   reportS: number;
   /** Cancellations told longer ago than this concern nobody any more. */
-  keepToldMs: number;
+  keepCancellationsMs: number;
   /** To the leader, whoever that is; true when it went out. */
-  toLeader: (leader: string, serving: Serving) => void;
+  toLeader: (leader: string, serving: ReportServerUpdate) => void;
   toNeighbour: (node: string, message: PeerMessage) => void;
   /** To the leader beside us, while it leads. */
-  toLeaderHere: (serving: Serving) => void;
+  toLeaderHere: (serving: ReportServerUpdate) => void;
   /** A worker has seen the token of a later term. */
   onLaterTerm: (term: number) => void;
   lagMs: () => number;
 }
 
 /** What a node remembers of a worker that reports to it. */
-interface Known {
+interface KnownWorker {
   report: Report;
   /** Newest of its reports, not of its answers to commands. */
   session: number;
@@ -63,7 +63,7 @@
 
 const TICK_MS = 500;
 /** Changes wait this long for company: each frame wakes this process and the leader's. */
-const GATHER_MS = 40;
+const BATCH_CHANGES_MS = 40;
 /** A worker that has not reported for so long is forgotten here; the leader knows more. */
 const FORGET_MS = 60_000;
 /** Tasks in the reports of one frame. */
@@ -79,7 +79,7 @@
 const TRICKLE_MS = 250;
 /** A worker waits so long for an answer at the least before it gives a controller up. */
 const ANSWER_MS = 3500;
-const SHUN_MS = 20_000;
+const UNREACHABLE_MS = 20_000;
 /** How long a neighbour's word that it hears from no leader counts; and how long such a word may take to come. */
 const NEIGHBOUR_MS = 1600;
 const DECIDE_MS = 1500;
@@ -89,53 +89,53 @@
 const MOVE_EVERY_MS = 30;
 
 /**
- * Answers workers' reports, at every node, under a grant of the leader (or by the leader's own mandate). A 200 renews
+ * Answers workers' reports, at every node, under a grant of the leader (or by the leader's own lease). A 200 renews
  * a worker's lease, so it is given only while the grant lasts, and every one of them is told to the leader, whose
- * proofs count on that (rule `ran_twice`). Commands come from the leader alone, by errands.
+ * proofs count on that (rule `ran_twice`). Commands come from the leader alone, by deliveries.
  */
 export class ReportServer extends Actor<Message> {
   private leader: string | null = null;
   private term = 0;
-  private mandate: Mandate | null = null;
+  private lease: LeadershipLease | null = null;
   private grantUntilMs = -Infinity;
   /** Until then our own zone's workers may be kept alive, if the whole zone is cut off. */
-  private homeUntilMs = -Infinity;
+  private zoneUntilMs = -Infinity;
   /** The last moment at which we might acknowledge anybody's reports. */
   private rightUntilMs = -Infinity;
   /** When a neighbour last said that it hears from no leader either. */
   private neighbourAloneMs = -Infinity;
   /** When we heard of this term first. */
   private termSeenMs = -Infinity;
-  private echoMs = 0;
-  private retoldMs = 0;
-  private seq = 0;
-  private homes: Grant["homes"] = [];
-  private readonly known = new Map<string, Known>();
-  private readonly heard = new Map<string, Heard>();
-  private readonly changed = new Map<string, Known>();
+  private echoedStampMs = 0;
+  private resyncedStampMs = 0;
+  private sequence = 0;
+  private servers: Grant["servers"] = [];
+  private readonly workers = new Map<string, KnownWorker>();
+  private readonly unchanged = new Map<string, UnchangedReport>();
+  private readonly changed = new Map<string, KnownWorker>();
   private machines = 0;
   private nextMoveMs = -Infinity;
   /** Where we sent workers, and when. */
-  private readonly sent = new Map<string, { to: string; atMs: number }>();
+  private readonly redirected = new Map<string, { to: string; atMs: number }>();
   /** Controllers that workers we sent did not reach, and until when we send none there. */
-  private readonly shunned = new Map<string, number>();
+  private readonly unreachable = new Map<string, number>();
   /** When we may send the next one to a controller that hardly serves any. */
   private nextTrickleMs = -Infinity;
   /** The other controllers of our zone. */
   private readonly neighbours: string[];
   /** As leader: what the leader beside us allows in this term. */
   private limitMs = -Infinity;
-  private barred = new Set<string>();
-  private readonly told: ToldCancels;
+  private quarantined = new Set<string>();
+  private readonly confirmedCancellations: ConfirmedCancellations;
   private flushSet = false;
   private timer: Timer | null = null;
   private stopped = false;
 
-  constructor(private readonly o: ReportServerOptions) {
+  constructor(private readonly options: ReportServerOptions) {
     super();
-    this.told = new ToldCancels(o.keepToldMs);
-    this.neighbours = [...o.zones]
-      .filter(([node, zone]) => node !== o.node && zone === o.zone)
+    this.confirmedCancellations = new ConfirmedCancellations(options.keepCancellationsMs);
+    this.neighbours = [...options.zones]
+      .filter(([node, zone]) => node !== options.node && zone === options.zone)
       .map(([n]) => n);
   }
 
@@ -149,7 +149,7 @@
   }
 
   /** Workers that report here. */
-  get served(): number {
+  get workerCount(): number {
     return this.machines;
   }
 
@@ -167,22 +167,22 @@
         this.report(message.report, message.reply);
         break;
       case "grant":
-        this.granted(message.grant);
+        this.applyGrant(message.grant);
         break;
-      case "homes":
+      case "servers":
         // Beside the leader there is no grant to bring them.
-        if (this.mandate) this.homes = message.homes;
+        if (this.lease) this.servers = message.servers;
         break;
-      case "ack limits":
-        this.limited(message.limits);
+      case "limits":
+        this.applyLimits(message.limits);
         break;
-      case "cancel told":
+      case "cancellation confirmed":
         // At once: the leader may have starts of it on their way, or be unable to read it.
-        if (this.told.add(message.id, message.at, this.o.clock.nowMs())) this.flush();
+        if (this.confirmedCancellations.add(message.id, message.at, this.options.clock.nowMs())) this.flush();
         break;
-      case "alone":
+      case "isolated":
         if (message.term === this.term && this.neighbours.includes(message.from))
-          this.neighbourAloneMs = this.o.clock.nowMs();
+          this.neighbourAloneMs = this.options.clock.nowMs();
         break;
       case "flush":
         this.flushSet = false;
@@ -195,133 +195,140 @@
   }
 
   private elected(news: ElectionNews): void {
-    const led = this.mandate?.term;
-    this.mandate = news.mandate;
+    const led = this.lease?.term;
+    this.lease = news.lease;
     this.leader = news.leader;
-    if (news.mandate) {
-      if (led !== news.mandate.term) this.begin(news.mandate.term);
-      this.rightUntilMs = Math.max(this.rightUntilMs, news.mandate.ackUntilMs);
+    if (news.lease) {
+      if (led !== news.lease.term) this.beginTerm(news.lease.term);
+      this.rightUntilMs = Math.max(this.rightUntilMs, news.lease.ackUntilMs);
     } else if (news.leader !== null && news.term > this.term) {
-      this.begin(news.term);
+      this.beginTerm(news.term);
     }
     // Without a leader a grant goes on until its end: it was counted when it was given.
   }
 
   /** A new term: whatever we know of our workers is news to its leader. */
-  private begin(term: number): void {
+  private beginTerm(term: number): void {
     this.term = term;
-    this.termSeenMs = this.o.clock.nowMs();
-    this.giveUpRights();
-    this.echoMs = 0;
-    this.retoldMs = 0;
-    this.seq = 0;
-    this.homes = [];
-    this.told.begin();
-    this.heard.clear();
-    this.tellAll();
+    this.termSeenMs = this.options.clock.nowMs();
+    this.dropGrants();
+    this.echoedStampMs = 0;
+    this.resyncedStampMs = 0;
+    this.sequence = 0;
+    this.servers = [];
+    this.confirmedCancellations.beginTerm();
+    this.unchanged.clear();
+    this.resync();
     this.flush();
   }
 
   /** Whatever an earlier leader gave us: the next one counts on it that we use none of it from here on. */
-  private giveUpRights(): void {
+  private dropGrants(): void {
     this.grantUntilMs = -Infinity;
-    this.homeUntilMs = -Infinity;
+    this.zoneUntilMs = -Infinity;
     this.rightUntilMs = -Infinity;
     this.neighbourAloneMs = -Infinity;
     this.limitMs = -Infinity;
   }
 
-  private limited(limits: AckLimits): void {
-    if (this.mandate?.term !== limits.term) return;
+  private applyLimits(limits: ReportServerLimits): void {
+    if (this.lease?.term !== limits.term) return;
     this.limitMs = limits.untilMs;
-    this.homeUntilMs = Math.max(this.homeUntilMs, limits.homeUntilMs);
-    this.barred = new Set(limits.barred);
-    this.told.taken(limits.toldSeq);
+    this.zoneUntilMs = Math.max(this.zoneUntilMs, limits.zoneUntilMs);
+    this.quarantined = new Set(limits.quarantined);
+    this.confirmedCancellations.acknowledgedUpTo(limits.cancellationSeq);
   }
 
-  private tellAll(): void {
-    const now = this.o.clock.nowMs();
-    for (const [name, k] of this.known) {
-      if (now - k.heardMs < 4000 * this.o.reportS) this.changed.set(name, k);
+  private resync(): void {
+    const now = this.options.clock.nowMs();
+    for (const [name, worker] of this.workers) {
+      if (now - worker.heardMs < 4000 * this.options.reportS) this.changed.set(name, worker);
     }
   }
 
   private untilMs(): number {
-    return this.mandate ? Math.min(this.mandate.ackUntilMs, this.limitMs) : this.grantUntilMs;
+    return this.lease ? Math.min(this.lease.ackUntilMs, this.limitMs) : this.grantUntilMs;
   }
 
-  private granted(g: Grant): void {
-    const now = this.o.clock.nowMs();
+  private applyGrant(grant: Grant): void {
+    const now = this.options.clock.nowMs();
     // Only an answer to a question of this very process, in this term, and to a recent one.
-    if (this.mandate || g.term !== this.term || g.from !== this.leader || g.life !== this.o.life) return;
-    if (g.resync && g.stampMs > this.retoldMs) {
-      this.retoldMs = g.stampMs;
-      this.tellAll();
+    if (
+      this.lease ||
+      grant.term !== this.term ||
+      grant.from !== this.leader ||
+      grant.life !== this.options.life
+    )
+      return;
+    if (grant.resync && grant.stampMs > this.resyncedStampMs) {
+      this.resyncedStampMs = grant.stampMs;
+      this.resync();
       this.flushSoon();
     }
-    if (g.askMs > now || now - g.askMs > 10_000) return;
-    this.grantUntilMs = Math.max(this.grantUntilMs, g.askMs + g.forMs * (1 - 2 * DRIFT));
+    if (grant.askMs > now || now - grant.askMs > 10_000) return;
+    this.grantUntilMs = Math.max(this.grantUntilMs, grant.askMs + grant.forMs * (1 - 2 * DRIFT));
     this.rightUntilMs = Math.max(this.rightUntilMs, this.grantUntilMs);
-    if (g.homeMs > 0) this.homeUntilMs = Math.max(this.homeUntilMs, g.askMs + g.homeMs * (1 - 2 * DRIFT));
-    this.echoMs = Math.max(this.echoMs, g.stampMs);
-    this.told.taken(g.toldSeq);
-    this.barred = new Set(g.barred);
-    this.homes = g.homes;
+    if (grant.zoneForMs > 0)
+      this.zoneUntilMs = Math.max(this.zoneUntilMs, grant.askMs + grant.zoneForMs * (1 - 2 * DRIFT));
+    this.echoedStampMs = Math.max(this.echoedStampMs, grant.stampMs);
+    this.confirmedCancellations.acknowledgedUpTo(grant.cancellationSeq);
+    this.quarantined = new Set(grant.quarantined);
+    this.servers = grant.servers;
   }
 
   private report(report: Report, reply: (answer: Answer) => void): void {
-    const now = this.o.clock.nowMs();
-    const home = now >= this.untilMs();
-    if (home && !this.mayKeepHome(report.zone, now)) {
-      const elsewhere = this.mandate ? null : this.leader;
+    const now = this.options.clock.nowMs();
+    const ownZone = now >= this.untilMs();
+    if (ownZone && !this.mayServeOwnZone(report.zone, now)) {
+      const elsewhere = this.lease ? null : this.leader;
       // A grant comes within a moment, or a leader that is gone is replaced. Sent to the leader meanwhile, all workers
       // arrived there at once, when it has most to do, and many of their leases ran out in its line.
       const patient = now - Math.max(this.grantUntilMs, this.termSeenMs) < NAME_LEADER_MS;
-      if (elsewhere === null || elsewhere === this.o.node || patient) reply({ status: 503, body: {} });
+      if (elsewhere === null || elsewhere === this.options.node || patient) reply({ status: 503, body: {} });
       else reply({ status: 421, body: encodeElsewhere(elsewhere) });
       return;
     }
     if (report.token >= firstToken(this.term + 1)) {
       // A later leader has spoken to it: a 200 from us would be dropped and hold the worker here.
-      this.giveUpRights();
-      this.o.onLaterTerm(this.term);
+      this.dropGrants();
+      this.options.onLaterTerm(this.term);
       reply({ status: 503, body: {} });
       return;
     }
-    const known = this.known.get(report.machine);
+    const known = this.workers.get(report.machine);
     if (known && isLateCopy(known, report)) {
       // Nobody waits for the answer, and it proves nothing: the worker sends one report at a time.
       reply({ status: 503, body: {} });
       return;
     }
-    if (this.barred.has(report.machine)) {
+    if (this.quarantined.has(report.machine)) {
       // A cancelled task there has not shown that it is gone: its lease has to end in time (rule `ran_cancelled`).
       reply({ status: 503, body: {} });
       return;
     }
-    this.noteReturn(report.machine, now);
-    const other = home ? null : this.lighter(report, known !== undefined);
+    this.noteReturnOfWorker(report.machine, now);
+    const other = ownZone ? null : this.redirectTarget(report, known !== undefined);
     if (other !== null) {
-      this.known.delete(report.machine);
+      this.workers.delete(report.machine);
       reply({ status: 421, body: encodeElsewhere(other) });
       return;
     }
     reply({ status: 200, body: encodeResponse(Math.max(firstToken(this.term), report.token), []) });
-    const same = known !== undefined && saysTheSame(known.report, report);
+    const same = known !== undefined && isUnchanged(known.report, report);
     const entry = { report, session: report.session, tick: report.tick, heardMs: now };
-    this.known.set(report.machine, entry);
+    this.workers.set(report.machine, entry);
     if (same && !this.changed.has(report.machine)) {
-      this.heard.set(report.machine, {
+      this.unchanged.set(report.machine, {
         machine: report.machine,
         session: report.session,
         tick: report.tick,
       });
-      if (this.mandate) this.flush();
+      if (this.lease) this.flush();
       return;
     }
-    this.heard.delete(report.machine);
+    this.unchanged.delete(report.machine);
     this.changed.set(report.machine, entry);
-    if (this.mandate) this.flush();
+    if (this.lease) this.flush();
     else this.flushSoon();
   }
 
@@ -330,45 +337,48 @@
    * workers. Alone we can't tell such a cut from one of our own, where the workers would find the others if we sent
    * them on: so only while a neighbour says that it hears from no leader either, or for the moment until it can say so.
    */
-  private mayKeepHome(zone: string, now: number): boolean {
-    if (zone !== this.o.zone || now >= this.homeUntilMs) return false;
+  private mayServeOwnZone(zone: string, now: number): boolean {
+    if (zone !== this.options.zone || now >= this.zoneUntilMs) return false;
     return now - this.rightUntilMs < DECIDE_MS || now - this.neighbourAloneMs < NEIGHBOUR_MS;
   }
 
   /** Another controller that this worker should go to; null: stay. */
-  private lighter(report: Report, isKnown: boolean): string | null {
-    const now = this.o.clock.nowMs();
+  private redirectTarget(report: Report, isKnown: boolean): string | null {
+    const now = this.options.clock.nowMs();
     // Moving costs a report: whoever is here goes only a few at a time.
     if (isKnown && now < this.nextMoveMs) return null;
-    const to = whereTo({
-      node: this.o.node,
+    const to = chooseServer({
+      node: this.options.node,
       leader: this.leader,
       leaderShare: now - this.termSeenMs < NEW_LEADER_MS ? NEW_LEADER_SHARE : LEADER_SHARE,
-      lagMs: this.o.lagMs(),
+      lagMs: this.options.lagMs(),
       isKnown,
-      homes: this.shunned.size === 0 ? this.homes : this.homes.filter((h) => !this.isShunned(h.node, now)),
+      servers:
+        this.unreachable.size === 0
+          ? this.servers
+          : this.servers.filter((h) => !this.isUnreachable(h.node, now)),
       zone: report.zone,
-      zoneOf: (node) => this.o.zones.get(node) ?? "",
+      zoneOf: (node) => this.options.zones.get(node) ?? "",
     });
     if (to === null) return null;
-    if ((this.homes.find((h) => h.node === to)?.machines ?? 0) < FEW_MACHINES) {
+    if ((this.servers.find((h) => h.node === to)?.machines ?? 0) < FEW_MACHINES) {
       if (now < this.nextTrickleMs) return null;
       this.nextTrickleMs = now + TRICKLE_MS;
     }
-    this.sent.set(report.machine, { to, atMs: now });
+    this.redirected.set(report.machine, { to, atMs: now });
     if (isKnown) this.nextMoveMs = now + MOVE_EVERY_MS;
-    for (const h of this.homes) {
+    for (const h of this.servers) {
       if (h.node === to) h.machines++;
-      else if (h.node === this.o.node) h.machines--;
+      else if (h.node === this.options.node) h.machines--;
     }
     return to;
   }
 
-  private isShunned(node: string, now: number): boolean {
-    const untilMs = this.shunned.get(node);
+  private isUnreachable(node: string, now: number): boolean {
+    const untilMs = this.unreachable.get(node);
     if (untilMs === undefined) return false;
     if (now < untilMs) return true;
-    this.shunned.delete(node);
+    this.unreachable.delete(node);
     return false;
   }
 
@@ -377,75 +387,76 @@
    * would send theirs, to wait there for an answer while their leases run out. Who comes back after such a wait has not
    * reached it.
    */
-  private noteReturn(machine: string, now: number): void {
-    const sent = this.sent.get(machine);
+  private noteReturnOfWorker(machine: string, now: number): void {
+    const sent = this.redirected.get(machine);
     if (!sent) return;
-    this.sent.delete(machine);
+    this.redirected.delete(machine);
     const awayMs = now - sent.atMs;
-    if (awayMs > ANSWER_MS && awayMs < 4 * ANSWER_MS) this.shunned.set(sent.to, now + SHUN_MS);
+    if (awayMs > ANSWER_MS && awayMs < 4 * ANSWER_MS) this.unreachable.set(sent.to, now + UNREACHABLE_MS);
   }
 
   private flushSoon(): void {
     if (this.flushSet || this.stopped) return;
     this.flushSet = true;
-    this.o.clock.after(GATHER_MS, () => this.tell({ kind: "flush" }));
+    this.options.clock.after(BATCH_CHANGES_MS, () => this.tell({ kind: "flush" }));
   }
 
   private flush(): void {
     if (this.stopped || this.leader === null || this.term === 0) return;
-    const now = this.o.clock.nowMs();
-    const reports: SeenReport[][] = [[]];
+    const now = this.options.clock.nowMs();
+    const reports: ReceivedReport[][] = [[]];
     let tasks = 0;
-    for (const k of this.changed.values()) {
-      if (tasks + k.report.tasks.length > FRAME_TASKS) {
+    for (const worker of this.changed.values()) {
+      if (tasks + worker.report.tasks.length > FRAME_TASKS) {
         reports.push([]);
         tasks = 0;
       }
-      tasks += k.report.tasks.length + 5;
-      reports.at(-1)!.push({ ageMs: Math.max(0, Math.round(now - k.heardMs)), report: k.report });
+      tasks += worker.report.tasks.length + 5;
+      reports.at(-1)!.push({ ageMs: Math.max(0, Math.round(now - worker.heardMs)), report: worker.report });
     }
     this.changed.clear();
-    const heard = [...this.heard.values()];
-    this.heard.clear();
-    const told = this.told.part(now);
+    const unchanged = [...this.unchanged.values()];
+    this.unchanged.clear();
+    const cancellations = this.confirmedCancellations.nextUpdate(now);
     reports.forEach((part, i) => {
       const last = i === reports.length - 1;
-      const serving: Serving = {
-        kind: "serving",
-        from: this.o.node,
+      const serving: ReportServerUpdate = {
+        kind: "report server update",
+        from: this.options.node,
         term: this.term,
-        life: this.o.life,
-        seq: ++this.seq,
+        life: this.options.life,
+        sequence: ++this.sequence,
         // All of it is told only with the last part.
-        echoMs: last ? this.echoMs : 0,
-        retoldMs: last ? this.retoldMs : 0,
+        echoedStampMs: last ? this.echoedStampMs : 0,
+        resyncedStampMs: last ? this.resyncedStampMs : 0,
         askMs: Math.floor(now),
         machines: this.machines,
-        lagMs: Math.round(this.o.lagMs()),
-        heard: last ? heard : [],
+        lagMs: Math.round(this.options.lagMs()),
+        unchanged: last ? unchanged : [],
         reports: part,
-        ...(last ? told : { told: [], toldSeq: 0, toldAll: false }),
+        ...(last ? cancellations : { cancellations: [], cancellationSeq: 0, cancellationsComplete: false }),
       };
-      if (this.mandate) this.o.toLeaderHere(serving);
-      else if (this.leader !== null) this.o.toLeader(this.leader, serving);
+      if (this.lease) this.options.toLeaderHere(serving);
+      else if (this.leader !== null) this.options.toLeader(this.leader, serving);
     });
   }
 
   private tick(): void {
     if (this.stopped) return;
-    this.timer = this.o.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
-    const now = this.o.clock.nowMs();
+    this.timer = this.options.clock.after(TICK_MS, () => this.tell({ kind: "tick" }));
+    const now = this.options.clock.nowMs();
     this.machines = 0;
-    for (const [name, k] of this.known) {
-      if (now - k.heardMs > FORGET_MS) this.known.delete(name);
-      else if (now - k.heardMs < 2500 * this.o.reportS) this.machines++;
+    for (const [name, worker] of this.workers) {
+      if (now - worker.heardMs > FORGET_MS) this.workers.delete(name);
+      else if (now - worker.heardMs < 2500 * this.options.reportS) this.machines++;
     }
-    this.told.forget(now);
-    for (const [machine, s] of this.sent) if (now - s.atMs > 5 * ANSWER_MS) this.sent.delete(machine);
-    if (!this.mandate) this.flush();
-    if (now >= this.untilMs() && now < this.homeUntilMs) {
+    this.confirmedCancellations.expire(now);
+    for (const [machine, s] of this.redirected)
+      if (now - s.atMs > 5 * ANSWER_MS) this.redirected.delete(machine);
+    if (!this.lease) this.flush();
+    if (now >= this.untilMs() && now < this.zoneUntilMs) {
       for (const node of this.neighbours)
-        this.o.toNeighbour(node, { kind: "alone", from: this.o.node, term: this.term });
+        this.options.toNeighbour(node, { kind: "isolated", from: this.options.node, term: this.term });
     }
   }
 }
@@ -455,27 +466,27 @@
  * a little more than our share; those that are here already when we have far more (the others may have been away), or
  * when we fall behind and another does not. Pure.
  */
-export function whereTo(facts: {
+export function chooseServer(facts: {
   node: string;
   leader: string | null;
   /** Of a controller's share of the workers, the leader's. */
   leaderShare: number;
   lagMs: number;
   isKnown: boolean;
-  homes: Grant["homes"];
+  servers: Grant["servers"];
   /** The worker's. */
   zone: string;
   zoneOf: (node: string) => string;
 }): string | null {
   // In their own zone, where there are controllers, so that a cut between zones takes nobody's controller away.
-  const near = facts.homes.filter((h) => facts.zoneOf(h.node) === facts.zone);
-  const homes = near.length > 0 ? near : facts.homes;
+  const near = facts.servers.filter((h) => facts.zoneOf(h.node) === facts.zone);
+  const servers = near.length > 0 ? near : facts.servers;
   const share = (node: string): number => (node === facts.leader ? facts.leaderShare : 1);
   let total = 0;
   let weight = 0;
-  let mine: Grant["homes"][number] | null = null;
-  let best: Grant["homes"][number] | null = null;
-  for (const h of homes) {
+  let mine: Grant["servers"][number] | null = null;
+  let best: Grant["servers"][number] | null = null;
+  for (const h of servers) {
     total += h.machines;
     weight += share(h.node);
     if (h.node === facts.node) mine = h;
@@ -497,12 +508,18 @@
 }
 
 /** Does the newer report tell the leader nothing but that the worker lives? Pure. */
-export function saysTheSame(a: Report, b: Report): boolean {
-  if (a.session !== b.session || a.token !== b.token || (a.noticeS === null) !== (b.noticeS === null))
+export function isUnchanged(report: Report, b: Report): boolean {
+  if (
+    report.session !== b.session ||
+    report.token !== b.token ||
+    (report.noticeS === null) !== (b.noticeS === null)
+  )
     return false;
-  if (a.address !== b.address || a.tasks.length !== b.tasks.length) return false;
-  return a.tasks.every((t, i) => {
+  if (report.address !== b.address || report.tasks.length !== b.tasks.length) return false;
+  return report.tasks.every((task, i) => {
     const u = b.tasks[i]!;
-    return t.phase === u.phase && t.task === u.task && t.jobId === u.jobId && t.attempt === u.attempt;
+    return (
+      task.phase === u.phase && task.task === u.task && task.jobId === u.jobId && task.attempt === u.attempt
+    );
   });
 }
--- a/src/coordination/servers.ts
+++ b/src/coordination/reports/reportServerRegistry.ts
@@ -1,98 +1,99 @@
-import type { Grant, Serving } from "../protocol/peers.js";
-import { DRIFT, type ServerFacts } from "./fences.js";
+import type { Grant, ReportServerUpdate } from "../../protocol/peers.js";
+import { DRIFT, type ReportServerFacts } from "../leadership/leaseExpiry.js";
 
 /** How long a controller may acknowledge reports without hearing from the leader again. */
 export const GRANT_MS = 2000;
 const MIN_GAP_MS = 250;
 
-interface Book extends ServerFacts {
+interface ServerRecord extends ReportServerFacts {
   /** After this it acknowledges nothing of its own zone's workers either. */
-  homeUntilMs: number;
+  zoneUntilMs: number;
   /** Before this it may have acknowledged anything of its own zone, under an earlier leader. */
-  homeBlindMs: number;
+  zoneBlindMs: number;
   life: number;
-  seq: number;
+  sequence: number;
   machines: number;
   lagMs: number;
-  heardMs: number;
+  receivedMs: number;
   grantedMs: number;
   /** Since when something of it is missing here; Infinity: nothing. */
   missingMs: number;
   /** When this process of it was heard first. */
-  lifeSinceMs: number;
+  processSinceMs: number;
   /** All cancellations that this process told users of before then are known here. */
-  toldMs: number;
-  toldSeq: number;
+  cancellationsKnownMs: number;
+  cancellationSeq: number;
 }
 
 /**
  * What the leader knows of the controllers that acknowledge reports under its grants: until when they may, and up to
  * when all that they have acknowledged is known here. Every proof by an elapsed lease asks it (rule `ran_twice`).
  */
-export class Servers {
-  private readonly books = new Map<string, Book>();
+export class ReportServerRegistry {
+  private readonly records = new Map<string, ServerRecord>();
 
   constructor(
     /** The other controllers' zones. */
     private readonly zones: ReadonlyMap<string, string>,
     /** The longest that an earlier leader can have given a controller its own zone for. */
-    private readonly homeMs: number,
+    private readonly longestZoneLeaseMs: number,
   ) {}
 
   /** What came in, in its order; a gap in it makes everything before this moment unknown. */
-  heard(s: Serving, nowMs: number): void {
-    let book = this.books.get(s.from);
+  received(update: ReportServerUpdate, nowMs: number): void {
+    let book = this.records.get(update.from);
     if (!book) {
       book = {
         grantUntilMs: -Infinity,
-        homeUntilMs: -Infinity,
+        zoneUntilMs: -Infinity,
         // With its first frame of this term it has given up what an earlier leader gave it.
-        homeBlindMs: nowMs,
+        zoneBlindMs: nowMs,
         // In this term it could acknowledge nothing before its first grant.
         coveredMs: nowMs,
         blindMs: -Infinity,
-        life: s.life,
-        seq: 0,
+        life: update.life,
+        sequence: 0,
         machines: 0,
         lagMs: 0,
-        heardMs: nowMs,
+        receivedMs: nowMs,
         grantedMs: -Infinity,
         missingMs: Infinity,
-        lifeSinceMs: nowMs,
-        toldMs: -Infinity,
-        toldSeq: 0,
+        processSinceMs: nowMs,
+        cancellationsKnownMs: -Infinity,
+        cancellationSeq: 0,
       };
-      this.books.set(s.from, book);
+      this.records.set(update.from, book);
     }
-    if (book.life !== s.life || s.seq !== book.seq + 1) {
+    if (book.life !== update.life || update.sequence !== book.sequence + 1) {
       // A lost frame named acknowledgements that nobody will name again. A process that came back may have had
       // untold ones as well, and its first frame may follow a grant to its forerunner.
       if (book.grantUntilMs > -Infinity) book.blindMs = nowMs;
-      if (s.seq !== 1) book.missingMs = nowMs;
+      if (update.sequence !== 1) book.missingMs = nowMs;
     }
     // Asked until it is answered: asked once, and the question lost or too late for who stood still, a machine whose last
     // word had been lost was heard from then on as one with nothing new to say, and its job was never done.
-    else if (s.retoldMs >= book.missingMs) book.missingMs = Infinity;
-    if (book.life !== s.life) {
-      book.lifeSinceMs = nowMs;
-      book.toldMs = -Infinity;
-      book.toldSeq = 0;
+    else if (update.resyncedStampMs >= book.missingMs) book.missingMs = Infinity;
+    if (book.life !== update.life) {
+      book.processSinceMs = nowMs;
+      book.cancellationsKnownMs = -Infinity;
+      book.cancellationSeq = 0;
     }
-    book.life = s.life;
-    book.seq = s.seq;
-    book.coveredMs = Math.max(book.coveredMs, Math.min(s.echoMs, nowMs));
-    book.machines = s.machines;
-    book.lagMs = s.lagMs;
-    book.heardMs = nowMs;
+    book.life = update.life;
+    book.sequence = update.sequence;
+    book.coveredMs = Math.max(book.coveredMs, Math.min(update.echoedStampMs, nowMs));
+    book.machines = update.machines;
+    book.lagMs = update.lagMs;
+    book.receivedMs = nowMs;
   }
 
   /** Its cancellations were taken over. */
-  toldOf(s: Serving, nowMs: number): void {
-    const book = this.books.get(s.from);
-    if (!book || book.life !== s.life) return;
-    book.toldSeq = Math.max(book.toldSeq, s.toldSeq);
+  learnCancellations(update: ReportServerUpdate, nowMs: number): void {
+    const book = this.records.get(update.from);
+    if (!book || book.life !== update.life) return;
+    book.cancellationSeq = Math.max(book.cancellationSeq, update.cancellationSeq);
     // Whatever it tells after our stamp came in is told after that stamp.
-    if (s.toldAll) book.toldMs = Math.max(book.toldMs, Math.min(s.echoMs, nowMs));
+    if (update.cancellationsComplete)
+      book.cancellationsKnownMs = Math.max(book.cancellationsKnownMs, Math.min(update.echoedStampMs, nowMs));
   }
 
   /**
@@ -102,8 +103,8 @@
   cancelsKnownToMs(readMs: number): number {
     let knownMs = Infinity;
     for (const node of this.zones.keys()) {
-      const book = this.books.get(node);
-      const toldMs = book && readMs >= book.lifeSinceMs ? book.toldMs : -Infinity;
+      const book = this.records.get(node);
+      const toldMs = book && readMs >= book.processSinceMs ? book.cancellationsKnownMs : -Infinity;
       knownMs = Math.min(knownMs, Math.max(readMs, toldMs));
     }
     return knownMs;
@@ -111,50 +112,50 @@
 
   /** A new grant in answer to that frame, unless the last one is young. Never longer than we may act ourselves. */
   grant(
-    s: Serving,
+    update: ReportServerUpdate,
     self: { node: string; machines: number; lagMs: number },
     nowMs: number,
     ackUntilMs: number,
-    served: boolean,
+    stateServed: boolean,
     homeMs = 0,
-    barred: string[] = [],
+    quarantined: string[] = [],
   ): Grant | null {
-    const book = this.books.get(s.from);
+    const book = this.records.get(update.from);
     const forMs = Math.floor(Math.min(GRANT_MS, ackUntilMs - nowMs));
     if (!book || forMs <= 0 || nowMs - book.grantedMs < MIN_GAP_MS) return null;
     book.grantedMs = nowMs;
     // It counts from when it asked, which was before now.
     book.grantUntilMs = Math.max(book.grantUntilMs, nowMs + forMs * (1 + 2 * DRIFT) + 10);
-    if (homeMs > 0) book.homeUntilMs = Math.max(book.homeUntilMs, nowMs + homeMs * (1 + 2 * DRIFT) + 10);
+    if (homeMs > 0) book.zoneUntilMs = Math.max(book.zoneUntilMs, nowMs + homeMs * (1 + 2 * DRIFT) + 10);
     const resync = book.missingMs < Infinity;
     return {
       kind: "grant",
       from: self.node,
-      term: s.term,
-      life: s.life,
-      askMs: s.askMs,
+      term: update.term,
+      life: update.life,
+      askMs: update.askMs,
       forMs,
-      homeMs,
+      zoneForMs: homeMs,
       stampMs: Math.floor(nowMs),
-      served,
+      stateServed,
       resync,
-      toldSeq: book.toldSeq,
-      barred,
-      homes: this.homes(self, nowMs),
+      cancellationSeq: book.cancellationSeq,
+      quarantined: quarantined,
+      servers: this.servers(self, nowMs),
     };
   }
 
   /** Who serves workers at present, and how many. */
-  homes(self: Grant["homes"][number], nowMs: number): Grant["homes"] {
-    const homes = [{ ...self }];
-    for (const [node, b] of this.books) {
-      if (b.grantUntilMs > nowMs) homes.push({ node, machines: b.machines, lagMs: b.lagMs });
+  servers(self: Grant["servers"][number], nowMs: number): Grant["servers"] {
+    const servers = [{ ...self }];
+    for (const [node, record] of this.records) {
+      if (record.grantUntilMs > nowMs) servers.push({ node, machines: record.machines, lagMs: record.lagMs });
     }
-    return homes;
+    return servers;
   }
 
-  wantAll(node: string, nowMs: number): void {
-    const book = this.books.get(node);
+  requestResync(node: string, nowMs: number): void {
+    const book = this.records.get(node);
     if (book && book.missingMs === Infinity) book.missingMs = nowMs;
   }
 
@@ -162,19 +163,19 @@
    * What counts for a machine of that zone (not known: of any). Who has not been heard in this term may still use what
    * an earlier leader gave it, which had ended its own giving by `othersSilentFromMs`.
    */
-  *facts(zone: string, othersSilentFromMs: number): Iterable<ServerFacts> {
-    for (const [node, home] of this.zones) {
-      const book = this.books.get(node);
-      const own = zone === "" || home === zone;
+  *facts(zone: string, othersSilentFromMs: number): Iterable<ReportServerFacts> {
+    for (const [node, serverZone] of this.zones) {
+      const book = this.records.get(node);
+      const own = zone === "" || serverZone === zone;
       if (!book) {
-        if (!own || this.homeMs === 0) continue;
-        const grantUntilMs = othersSilentFromMs + this.homeMs * (1 + 2 * DRIFT);
+        if (!own || this.longestZoneLeaseMs === 0) continue;
+        const grantUntilMs = othersSilentFromMs + this.longestZoneLeaseMs * (1 + 2 * DRIFT);
         yield { grantUntilMs, coveredMs: -Infinity, blindMs: -Infinity };
       } else if (own) {
         yield {
-          grantUntilMs: Math.max(book.grantUntilMs, book.homeUntilMs),
+          grantUntilMs: Math.max(book.grantUntilMs, book.zoneUntilMs),
           coveredMs: book.coveredMs,
-          blindMs: this.homeMs === 0 ? book.blindMs : Math.max(book.blindMs, book.homeBlindMs),
+          blindMs: this.longestZoneLeaseMs === 0 ? book.blindMs : Math.max(book.blindMs, book.zoneBlindMs),
         };
       } else yield book;
     }
@@ -182,7 +183,8 @@
 
   /** Does any controller that we can hand over to keep up clearly better than we do? */
   someoneFaster(lagMs: number, nowMs: number): boolean {
-    for (const b of this.books.values()) if (nowMs - b.heardMs < 1500 && b.lagMs * 3 < lagMs) return true;
+    for (const b of this.records.values())
+      if (nowMs - b.receivedMs < 1500 && b.lagMs * 3 < lagMs) return true;
     return false;
   }
 }
--- a/src/coordination/estimates.ts
+++ b/src/coordination/scheduling/estimates.ts
@@ -1,5 +1,5 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
-import { Learner } from "./learning.js";
+import type { JobSpec, MachineType } from "../../protocol/model.js";
+import { Learner } from "./runTimeLearner.js";
 import type { Claim } from "./views.js";
 
 /** What a controller knows whatever the term: machine types, and what the days have taught. */
--- a/src/coordination/faults.ts
+++ b/src/coordination/scheduling/failureDetection.ts
@@ -1,5 +1,5 @@
-import type { Job } from "../bookkeeping/jobs.js";
-import type { Machine } from "../bookkeeping/machines.js";
+import type { Job } from "../../bookkeeping/jobs.js";
+import type { Machine } from "../../bookkeeping/machines.js";
 
 /** A job that has failed on more machines than this and succeeded on none was submitted with a mistake. */
 const MISTAKE_MACHINES = 3;
@@ -14,16 +14,16 @@
 }
 
 /** Failures of jobs that run well elsewhere count double, those of jobs that fail everywhere not at all. Pure. */
-export function looksFaulty(m: Machine, jobs: Map<string, Job>): boolean {
+export function looksFaulty(machine: Machine, jobs: Map<string, Job>): boolean {
   let score = 0;
   let proven = 0;
   let counted = 0;
-  for (const [id, n] of m.failures) {
+  for (const [id, n] of machine.failures) {
     const job = jobs.get(id);
     if (job && looksMistaken(job)) continue;
     const well =
       job !== undefined &&
-      (job.doneCount > 0 || [...job.attempts].some((a) => a.machine !== m && a.phase === "running"));
+      (job.doneCount > 0 || [...job.attempts].some((a) => a.machine !== machine && a.phase === "running"));
     score += well ? 2 * n : n;
     if (well) proven++;
     counted++;
--- a/src/coordination/queue.ts
+++ b/src/coordination/scheduling/queue.ts
@@ -1,5 +1,5 @@
-import type { Job } from "../bookkeeping/jobs.js";
-import type { Objective, Team } from "../settings/platform.js";
+import type { Job } from "../../bookkeeping/jobs.js";
+import type { Objective, Team } from "../../settings/platform.js";
 
 /**
  * Which jobs fall within their team's guarantee: a job does if it fits into it along with the team's earlier
@@ -40,18 +40,18 @@
   aged: boolean;
   /** Nothing of it has begun for so long that it soon has to, whatever its priority. */
   overdue: boolean;
-  /** Most of its class's loosest wish is over, and it isn't done. */
+  /** Most of its class's loosest target is over, and it isn't done. */
   late: boolean;
   /** Tasks that it may have running: what is late keeps to its part of the room. Set by `serveOrder`. */
   allowed: number;
-  /** Seconds from now at which it should be complete, the nearest wish first; later wishes are looser. */
-  duesS: number[];
+  /** Seconds from now at which it should be complete, the nearest target first; later targets are looser. */
+  targetsLeftS: number[];
   /** Seconds that a single task of it still takes. */
   taskS: number;
   /** Tasks without a result. */
   tasks: number;
   /** Cpus, or accelerators, that all that is left of it would take at once. */
-  wide: number;
+  width: number;
   /** What is left to do, in cpu seconds. */
   work: number;
   /** When it was accepted, for what nothing else decides. */
@@ -59,15 +59,15 @@
 }
 
 /** Seconds from submission at which a job should be complete, by its own deadline or its class's objectives. */
-export function wishedS(className: string, deadlineS: number | null, objectives: Objective[]): number[] {
-  const wishes = new Set<number>();
-  if (deadlineS !== null) wishes.add(deadlineS);
-  for (const o of objectives) {
-    if (o.className !== className) continue;
-    if (o.kind === "deadline" && deadlineS !== null) wishes.add(deadlineS * o.times);
-    if (o.kind === "finished" && o.withinS !== null) wishes.add(o.withinS);
+export function targetsS(className: string, deadlineS: number | null, objectives: Objective[]): number[] {
+  const targets = new Set<number>();
+  if (deadlineS !== null) targets.add(deadlineS);
+  for (const objective of objectives) {
+    if (objective.className !== className) continue;
+    if (objective.kind === "deadline" && deadlineS !== null) targets.add(deadlineS * objective.times);
+    if (objective.kind === "finished" && objective.withinS !== null) targets.add(objective.withinS);
   }
-  return [...wishes].sort((a, b) => a - b);
+  return [...targets].sort((a, b) => a - b);
 }
 
 /**
@@ -76,12 +76,12 @@
  *
  * With less room than work, "least time left first" makes everybody a little late. So the jobs are taken by due
  * time, and whenever they don't fit, the largest of them steps back (Moore and Hodgson): it costs one job its
- * wish, and the others keep theirs. Those that stepped back are tried again at their next, looser wish; what can't
+ * target, and the others keep theirs. Those that stepped back are tried again at their next, looser target; what can't
  * meet any comes last, the smallest first. Pure.
  */
-/** Jobs that begin out of turn in one pass, each with so many tasks. */
-const BEGIN_JOBS = 8;
-export const BEGIN_TASKS = 2;
+/** Jobs that begin out of turn in one cycle, each with so many tasks. */
+const MAX_EARLY_JOBS = 8;
+export const EARLY_TASKS = 2;
 /** Of a priority's room, what is late may take so much before those who can still be in time. */
 const LATE_SHARE = 0.35;
 
@@ -96,9 +96,9 @@
     entries
       .filter((e) => e.overdue && e.priority < ranks[0]!)
       .sort(bySince)
-      .slice(0, BEGIN_JOBS),
+      .slice(0, MAX_EARLY_JOBS),
   );
-  for (const e of begins) e.allowed = BEGIN_TASKS;
+  for (const e of begins) e.allowed = EARLY_TASKS;
   out.push(...begins);
   for (const rank of ranks) {
     const ranked = entries.filter((e) => e.priority === rank && !begins.has(e));
@@ -115,7 +115,7 @@
       }
       // Counted on twice, that part of the room would make everybody else a little late.
       let left = room;
-      for (const e of first) left -= e.wide;
+      for (const e of first) left -= e.width;
       const rest = like.filter((e) => !first.includes(e));
       out.push(...first, ...inRank(rest, Math.max(left, room * (1 - LATE_SHARE) * 0.8)));
     }
@@ -130,18 +130,18 @@
 function lateFirst(entries: QueueEntry[], room: number): QueueEntry[] {
   const out: QueueEntry[] = [];
   let left = room;
-  for (const e of entries.filter((e) => e.late).sort(bySince)) {
+  for (const entry of entries.filter((e) => e.late).sort(bySince)) {
     if (left <= 0) break;
     // Uncapped, one large late job took most of a small deployment from all who could still be in time.
-    if (e.wide > left) e.allowed = Math.max(1, Math.floor((left / e.wide) * e.tasks));
-    left -= e.wide;
-    out.push(e);
+    if (entry.width > left) entry.allowed = Math.max(1, Math.floor((left / entry.width) * entry.tasks));
+    left -= entry.width;
+    out.push(entry);
   }
   return out;
 }
 
-function bySince(a: QueueEntry, b: QueueEntry): number {
-  return a.since - b.since || (a.id < b.id ? -1 : 1);
+function bySince(entry: QueueEntry, b: QueueEntry): number {
+  return entry.since - b.since || (entry.id < b.id ? -1 : 1);
 }
 
 /** `room` is shared by the guaranteed, who come first, and the others. */
@@ -150,7 +150,7 @@
   let busyS = 0;
   for (const guaranteed of [true, false]) {
     let left = entries.filter((e) => e.guaranteed === guaranteed);
-    const levels = Math.max(0, ...left.map((e) => e.duesS.length));
+    const levels = Math.max(0, ...left.map((e) => e.targetsLeftS.length));
     for (let level = 0; level < levels; level++) {
       const { kept, dropped, endS } = inTime(left, level, room, busyS);
       out.push(...kept);
@@ -163,10 +163,11 @@
   return out;
 }
 
-function bySize(a: QueueEntry, b: QueueEntry): number {
-  // Without wishes there is nothing to be in time for: first come, first served.
-  if (a.duesS.length === 0 && b.duesS.length === 0) return a.since - b.since || (a.id < b.id ? -1 : 1);
-  return a.work - b.work || a.since - b.since || (a.id < b.id ? -1 : 1);
+function bySize(entry: QueueEntry, b: QueueEntry): number {
+  // Without targets there is nothing to be in time for: first come, first served.
+  if (entry.targetsLeftS.length === 0 && b.targetsLeftS.length === 0)
+    return entry.since - b.since || (entry.id < b.id ? -1 : 1);
+  return entry.work - b.work || entry.since - b.since || (entry.id < b.id ? -1 : 1);
 }
 
 function inTime(
@@ -177,17 +178,17 @@
 ): { kept: QueueEntry[]; dropped: QueueEntry[]; endS: number } {
   const kept: QueueEntry[] = [];
   const dropped: QueueEntry[] = [];
-  const due = (e: QueueEntry): number => e.duesS[level] ?? -Infinity;
+  const due = (e: QueueEntry): number => e.targetsLeftS[level] ?? -Infinity;
   const sorted = [...entries].sort((a, b) => due(a) - due(b) || a.since - b.since || (a.id < b.id ? -1 : 1));
   let endS = startS;
-  for (const e of sorted) {
-    if (e.taskS > due(e)) {
-      dropped.push(e);
+  for (const entry of sorted) {
+    if (entry.taskS > due(entry)) {
+      dropped.push(entry);
       continue;
     }
-    kept.push(e);
-    endS += e.work / room;
-    if (Math.max(endS, e.taskS) <= due(e)) continue;
+    kept.push(entry);
+    endS += entry.work / room;
+    if (Math.max(endS, entry.taskS) <= due(entry)) continue;
     let largest = 0;
     for (let i = 1; i < kept.length; i++) if (kept[i]!.work > kept[largest]!.work) largest = i;
     const [out] = kept.splice(largest, 1);
--- a/src/coordination/quotaView.ts
+++ b/src/coordination/scheduling/quotaView.ts
@@ -1,6 +1,6 @@
-import type { Job } from "../bookkeeping/jobs.js";
-import type { TeamAmount, Usage } from "../bookkeeping/usage.js";
-import type { JobSpec } from "../protocol/model.js";
+import type { Job } from "../../bookkeeping/jobs.js";
+import type { TeamAmount, Usage } from "../../bookkeeping/usage.js";
+import type { JobSpec } from "../../protocol/model.js";
 import type { QuotaView } from "./views.js";
 
 /**
--- a/src/coordination/views.ts
+++ b/src/coordination/scheduling/views.ts
@@ -1,5 +1,5 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
-import type { Amount } from "../bookkeeping/machines.js";
+import type { JobSpec, MachineType } from "../../protocol/model.js";
+import type { Amount } from "../../bookkeeping/machines.js";
 
 /** Snapshots that the pure decisions work on. The placer makes them; decisions may scribble on them. */
 
@@ -34,7 +34,7 @@
   fetchRank: number;
   /** Room that a reservation keeps, for whom, and in how many seconds that one expects to begin. */
   held: { jobId: string; amount: Amount; etaS: number } | null;
-  /** Made only for who asks: most passes stop nobody. */
+  /** Made only for who asks: most cycles stop nobody. */
   victims: () => VictimView[];
   /** What work with accelerators wants beside each of them here; null: none of it may come here. */
   claim: Claim | null;
@@ -85,7 +85,7 @@
   /** Tasks that may be somewhere, by zone. */
   zones: Map<string, number>;
   avoid: Set<string>;
-  /** Seconds that its tasks may still wait for a start without missing their class's wish; null: no wish left. */
+  /** Seconds that its tasks may still wait for a start without missing their class's target; null: no target left. */
   quickS: number | null;
   /** Where a move wants it; null: anywhere. */
   prefer: string | null;
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -39,17 +39,17 @@
 
 export function encodeTypes(types: MachineType[]): Json {
   return {
-    breeds: types.map((t) => ({
-      name: t.name,
-      cores: t.cpus,
-      gpus: t.gpus,
-      memoryGb: t.memoryGb,
-      cacheGb: t.cacheGb,
-      fetchGbPerS: t.fetchGbPerS,
-      price: t.price,
-      lowPrice: t.spotPrice,
-      bootS: t.bootS,
-      patches: t.zones,
+    breeds: types.map((type) => ({
+      name: type.name,
+      cores: type.cpus,
+      gpus: type.gpus,
+      memoryGb: type.memoryGb,
+      cacheGb: type.cacheGb,
+      fetchGbPerS: type.fetchGbPerS,
+      price: type.price,
+      lowPrice: type.spotPrice,
+      bootS: type.bootS,
+      patches: type.zones,
     })),
   };
 }
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -86,20 +86,20 @@
 }
 
 /** A report that was acknowledged and said nothing new. */
-export interface Heard {
+export interface UnchangedReport {
   machine: string;
   session: number;
   tick: number;
 }
 
 /** A report as another controller took it in, so long ago. */
-export interface SeenReport {
+export interface ReceivedReport {
   ageMs: number;
   report: Report;
 }
 
 /** Commands on their way to a worker. */
-export interface Errand {
+export interface CommandDelivery {
   machine: string;
   address: string;
   token: number;
@@ -107,7 +107,7 @@
   commands: Command[];
 }
 
-export interface ErrandResult {
+export interface DeliveryResult {
   machine: string;
   token: number;
   /** Null: no answer, so it may be carried out at any later time. */
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -1,13 +1,13 @@
 import { Reader, Writer } from "./bytes.js";
 import type {
   Command,
-  Errand,
-  ErrandResult,
+  CommandDelivery,
+  DeliveryResult,
   ExitCause,
-  Heard,
+  UnchangedReport,
   Report,
   ReportedTask,
-  SeenReport,
+  ReceivedReport,
   TaskPhase,
 } from "./model.js";
 
@@ -16,38 +16,38 @@
 const MAGIC = "lichenturn";
 
 /** A cancellation that a user was told of, and the time of day just before it was committed. */
-export interface ToldCancel {
+export interface ConfirmedCancellation {
   id: string;
   at: Date;
 }
 
 /** What a controller tells the leader of the workers that it serves; at the same time its request for a new grant. */
-export interface Serving {
-  kind: "serving";
+export interface ReportServerUpdate {
+  kind: "report server update";
   from: string;
   term: number;
   /** Different in each process. */
   life: number;
   /** One more in each frame of this life and term: a gap means that acknowledgements went unheard. */
-  seq: number;
+  sequence: number;
   /** The leader's stamp in the last grant that came in: all acknowledgements up to then are told by now. */
-  echoMs: number;
+  echoedStampMs: number;
   /** The leader's stamp in the last grant that asked for everything: from this frame on it is told again. */
-  retoldMs: number;
+  resyncedStampMs: number;
   /** Our own clock; comes back in the grant. */
   askMs: number;
   machines: number;
   lagMs: number;
   /** Workers that were acknowledged with nothing new to say. */
-  heard: Heard[];
+  unchanged: UnchangedReport[];
   /** Acknowledged reports that say something new. */
-  reports: SeenReport[];
+  reports: ReceivedReport[];
   /** Cancellations that this process has told users of, less those that the leader has taken over. */
-  told: ToldCancel[];
+  cancellations: ConfirmedCancellation[];
   /** Number of the last of them, counted in each process. */
-  toldSeq: number;
-  /** With it the leader knows of all that this process has told up to `echoMs`. */
-  toldAll: boolean;
+  cancellationSeq: number;
+  /** With it the leader knows of all that this process has told up to `echoedStampMs`. */
+  cancellationsComplete: boolean;
 }
 
 /** The leader lets a controller acknowledge reports for a while. */
@@ -59,17 +59,17 @@
   askMs: number;
   forMs: number;
   /** For workers of the asker's own zone, while the asker is cut off in company; 0: no longer than the rest. */
-  homeMs: number;
+  zoneForMs: number;
   stampMs: number;
   /** The state service serves the leader: a node that it refuses is alone with that. */
-  served: boolean;
+  stateServed: boolean;
   /** Something went unheard: tell everything again. */
   resync: boolean;
   /** The cancellations told by this process up to that one are known here. */
-  toldSeq: number;
+  cancellationSeq: number;
   /** Machines whose reports may not be acknowledged: a cancelled task there has not shown that it is gone. */
-  barred: string[];
-  homes: { node: string; machines: number; lagMs: number }[];
+  quarantined: string[];
+  servers: { node: string; machines: number; lagMs: number }[];
 }
 
 /** What controllers say to each other, byte by byte: kind, sender, then the kind's own fields. */
@@ -77,33 +77,33 @@
   /** Opens every link. */
   | { kind: "hello"; from: string; version: number }
   /** May the leader of this term go on acknowledging reports? */
-  | { kind: "vouch?"; from: string; term: number; ask: number }
-  | { kind: "vouch"; from: string; term: number; ask: number; yes: boolean }
-  /** I lead this term: vouch for no earlier one from now on. */
-  | { kind: "confirm?"; from: string; term: number }
-  | { kind: "confirm"; from: string; term: number }
+  | { kind: "extension request"; from: string; term: number; ask: number }
+  | { kind: "extension vote"; from: string; term: number; ask: number; yes: boolean }
+  /** I lead this term: confirm no extension of an earlier one from now on. */
+  | { kind: "term announcement"; from: string; term: number }
+  | { kind: "term acknowledgement"; from: string; term: number }
   /** Counts for display only; whatever is not named has not changed. */
-  | { kind: "tally"; from: string; term: number; jobs: { id: string; done: number; running: number }[] }
-  | Serving
+  | { kind: "task counts"; from: string; term: number; jobs: { id: string; done: number; running: number }[] }
+  | ReportServerUpdate
   | Grant
   /** I have no right to acknowledge reports any more, and hear from no leader of this term. */
-  | { kind: "alone"; from: string; term: number }
+  | { kind: "isolated"; from: string; term: number }
   /** Carry these commands to workers. */
-  | { kind: "errands"; from: string; term: number; errands: Errand[] }
-  | { kind: "errands back"; from: string; term: number; results: ErrandResult[] };
+  | { kind: "deliveries"; from: string; term: number; deliveries: CommandDelivery[] }
+  | { kind: "delivery results"; from: string; term: number; results: DeliveryResult[] };
 
 const KINDS: PeerMessage["kind"][] = [
   "hello",
-  "vouch?",
-  "vouch",
-  "confirm?",
-  "confirm",
-  "tally",
-  "serving",
+  "extension request",
+  "extension vote",
+  "term announcement",
+  "term acknowledgement",
+  "task counts",
+  "report server update",
   "grant",
-  "errands",
-  "errands back",
-  "alone",
+  "deliveries",
+  "delivery results",
+  "isolated",
 ];
 const PHASES: TaskPhase[] = ["fetching", "waiting", "running", "saving", "exited"];
 const CAUSES: (ExitCause | null)[] = [
@@ -126,223 +126,242 @@
   return table[index]!;
 }
 
-function writeTask(w: Writer, t: ReportedTask): void {
-  w.text(t.jobId).number(t.task).big(t.attempt).byte(PHASES.indexOf(t.phase)).byte(CAUSES.indexOf(t.cause));
-  w.byte(t.saved ? 1 : 0);
+function writeTask(writer: Writer, task: ReportedTask): void {
+  writer
+    .text(task.jobId)
+    .number(task.task)
+    .big(task.attempt)
+    .byte(PHASES.indexOf(task.phase))
+    .byte(CAUSES.indexOf(task.cause));
+  writer.byte(task.saved ? 1 : 0);
 }
 
-function readTask(r: Reader): ReportedTask {
+function readTask(reader: Reader): ReportedTask {
   return {
-    jobId: r.text(),
-    task: r.number(),
-    attempt: r.big(),
-    phase: pick(PHASES, r.byte()),
-    cause: pick(CAUSES, r.byte()),
-    saved: r.flag(),
+    jobId: reader.text(),
+    task: reader.number(),
+    attempt: reader.big(),
+    phase: pick(PHASES, reader.byte()),
+    cause: pick(CAUSES, reader.byte()),
+    saved: reader.flag(),
   };
 }
 
-function writeReport(w: Writer, x: Report): void {
-  w.text(x.machine)
-    .text(x.address)
-    .text(x.type)
-    .text(x.zone)
-    .byte(x.spot ? 1 : 0);
-  w.big(x.session).big(x.tick).big(x.token);
-  w.byte(x.noticeS === null ? 0 : 1);
-  if (x.noticeS !== null) w.number(Math.round(x.noticeS * 1000));
-  w.number(x.tasks.length);
-  for (const t of x.tasks) writeTask(w, t);
+function writeReport(writer: Writer, report: Report): void {
+  writer
+    .text(report.machine)
+    .text(report.address)
+    .text(report.type)
+    .text(report.zone)
+    .byte(report.spot ? 1 : 0);
+  writer.big(report.session).big(report.tick).big(report.token);
+  writer.byte(report.noticeS === null ? 0 : 1);
+  if (report.noticeS !== null) writer.number(Math.round(report.noticeS * 1000));
+  writer.number(report.tasks.length);
+  for (const t of report.tasks) writeTask(writer, t);
 }
 
-function readReport(r: Reader): Report {
+function readReport(reader: Reader): Report {
   return {
-    machine: r.text(),
-    address: r.text(),
-    type: r.text(),
-    zone: r.text(),
-    spot: r.flag(),
-    session: r.big(),
-    tick: r.big(),
-    token: r.big(),
-    noticeS: r.flag() ? r.number() / 1000 : null,
-    tasks: r.list(readTask),
+    machine: reader.text(),
+    address: reader.text(),
+    type: reader.text(),
+    zone: reader.text(),
+    spot: reader.flag(),
+    session: reader.big(),
+    tick: reader.big(),
+    token: reader.big(),
+    noticeS: reader.flag() ? reader.number() / 1000 : null,
+    tasks: reader.list(readTask),
   };
 }
 
-function writeCommand(w: Writer, c: Command): void {
-  w.byte(OPS.indexOf(c.op)).text(c.jobId).number(c.task).big(c.attempt);
-  if (c.op === "stop") w.number(Math.round(c.graceS * 1000));
+function writeCommand(writer: Writer, command: Command): void {
+  writer.byte(OPS.indexOf(command.op)).text(command.jobId).number(command.task).big(command.attempt);
+  if (command.op === "stop") writer.number(Math.round(command.graceS * 1000));
 }
 
-function readCommand(r: Reader): Command {
-  const op = pick(OPS, r.byte());
-  const base = { jobId: r.text(), task: r.number(), attempt: r.big() };
-  return op === "stop" ? { op, ...base, graceS: r.number() / 1000 } : { op, ...base };
+function readCommand(reader: Reader): Command {
+  const op = pick(OPS, reader.byte());
+  const base = { jobId: reader.text(), task: reader.number(), attempt: reader.big() };
+  return op === "stop" ? { op, ...base, graceS: reader.number() / 1000 } : { op, ...base };
 }
 
 export function encodePeer(message: PeerMessage): Buffer {
-  const w = new Writer().byte(KINDS.indexOf(message.kind)).text(message.from);
+  const writer = new Writer().byte(KINDS.indexOf(message.kind)).text(message.from);
   switch (message.kind) {
     case "hello":
-      w.text(MAGIC).number(message.version);
+      writer.text(MAGIC).number(message.version);
       break;
-    case "vouch?":
-      w.number(message.term).number(message.ask);
+    case "extension request":
+      writer.number(message.term).number(message.ask);
       break;
-    case "vouch":
-      w.number(message.term)
+    case "extension vote":
+      writer
+        .number(message.term)
         .number(message.ask)
         .byte(message.yes ? 1 : 0);
       break;
-    case "confirm?":
-    case "confirm":
-    case "alone":
-      w.number(message.term);
+    case "term announcement":
+    case "term acknowledgement":
+    case "isolated":
+      writer.number(message.term);
       break;
-    case "tally":
-      w.number(message.term).number(message.jobs.length);
-      for (const job of message.jobs) w.text(job.id).number(job.done).number(job.running);
+    case "task counts":
+      writer.number(message.term).number(message.jobs.length);
+      for (const job of message.jobs) writer.text(job.id).number(job.done).number(job.running);
       break;
-    case "serving":
-      w.number(message.term).number(message.life).number(message.seq);
-      w.number(message.echoMs)
-        .number(message.retoldMs)
+    case "report server update":
+      writer.number(message.term).number(message.life).number(message.sequence);
+      writer
+        .number(message.echoedStampMs)
+        .number(message.resyncedStampMs)
         .number(message.askMs)
         .number(message.machines)
         .number(message.lagMs);
-      w.number(message.heard.length);
-      for (const h of message.heard) w.text(h.machine).big(h.session).big(h.tick);
-      w.number(message.reports.length);
-      for (const x of message.reports) writeReport(w.number(x.ageMs), x.report);
-      w.number(message.told.length);
-      for (const t of message.told) w.text(t.id).number(t.at.getTime());
-      w.number(message.toldSeq).byte(message.toldAll ? 1 : 0);
+      writer.number(message.unchanged.length);
+      for (const h of message.unchanged) writer.text(h.machine).big(h.session).big(h.tick);
+      writer.number(message.reports.length);
+      for (const x of message.reports) writeReport(writer.number(x.ageMs), x.report);
+      writer.number(message.cancellations.length);
+      for (const t of message.cancellations) writer.text(t.id).number(t.at.getTime());
+      writer.number(message.cancellationSeq).byte(message.cancellationsComplete ? 1 : 0);
       break;
     case "grant":
-      w.number(message.term).number(message.life).number(message.askMs);
-      w.number(message.forMs).number(message.homeMs).number(message.stampMs);
-      w.byte(message.served ? 1 : 0)
+      writer.number(message.term).number(message.life).number(message.askMs);
+      writer.number(message.forMs).number(message.zoneForMs).number(message.stampMs);
+      writer
+        .byte(message.stateServed ? 1 : 0)
         .byte(message.resync ? 1 : 0)
-        .number(message.toldSeq)
-        .number(message.barred.length);
-      for (const machine of message.barred) w.text(machine);
-      w.number(message.homes.length);
-      for (const h of message.homes) w.text(h.node).number(h.machines).number(h.lagMs);
+        .number(message.cancellationSeq)
+        .number(message.quarantined.length);
+      for (const machine of message.quarantined) writer.text(machine);
+      writer.number(message.servers.length);
+      for (const h of message.servers) writer.text(h.node).number(h.machines).number(h.lagMs);
       break;
-    case "errands":
-      w.number(message.term).number(message.errands.length);
-      for (const e of message.errands) {
-        w.text(e.machine).text(e.address).big(e.token).big(e.session).number(e.commands.length);
-        for (const c of e.commands) writeCommand(w, c);
+    case "deliveries":
+      writer.number(message.term).number(message.deliveries.length);
+      for (const delivery of message.deliveries) {
+        writer
+          .text(delivery.machine)
+          .text(delivery.address)
+          .big(delivery.token)
+          .big(delivery.session)
+          .number(delivery.commands.length);
+        for (const c of delivery.commands) writeCommand(writer, c);
       }
       break;
-    case "errands back":
-      w.number(message.term).number(message.results.length);
-      for (const x of message.results) {
-        w.text(x.machine)
-          .big(x.token)
-          .number(x.status ?? 0)
-          .byte(x.neverSent ? 1 : 0);
-        w.byte(x.report ? 1 : 0);
-        if (x.report) writeReport(w, x.report);
+    case "delivery results":
+      writer.number(message.term).number(message.results.length);
+      for (const result of message.results) {
+        writer
+          .text(result.machine)
+          .big(result.token)
+          .number(result.status ?? 0)
+          .byte(result.neverSent ? 1 : 0);
+        writer.byte(result.report ? 1 : 0);
+        if (result.report) writeReport(writer, result.report);
       }
       break;
   }
-  return w.done();
+  return writer.done();
 }
 
 /** Null for anything that isn't exactly one of our messages. */
 export function decodePeer(frame: Buffer): PeerMessage | null {
   try {
-    const r = new Reader(frame);
-    const kind = KINDS[r.byte()];
-    const from = r.text();
-    const message = kind === undefined ? null : read(kind, from, r);
-    r.end();
+    const reader = new Reader(frame);
+    const kind = KINDS[reader.byte()];
+    const from = reader.text();
+    const message = kind === undefined ? null : read(kind, from, reader);
+    reader.end();
     return message;
   } catch {
     return null;
   }
 }
 
-function read(kind: PeerMessage["kind"], from: string, r: Reader): PeerMessage | null {
+function read(kind: PeerMessage["kind"], from: string, reader: Reader): PeerMessage | null {
   switch (kind) {
     case "hello":
-      return r.text() === MAGIC ? { kind, from, version: r.number() } : null;
-    case "vouch?":
-      return { kind, from, term: r.number(), ask: r.number() };
-    case "vouch":
-      return { kind, from, term: r.number(), ask: r.number(), yes: r.flag() };
-    case "confirm?":
-    case "confirm":
-    case "alone":
-      return { kind, from, term: r.number() };
-    case "tally":
+      return reader.text() === MAGIC ? { kind, from, version: reader.number() } : null;
+    case "extension request":
+      return { kind, from, term: reader.number(), ask: reader.number() };
+    case "extension vote":
+      return { kind, from, term: reader.number(), ask: reader.number(), yes: reader.flag() };
+    case "term announcement":
+    case "term acknowledgement":
+    case "isolated":
+      return { kind, from, term: reader.number() };
+    case "task counts":
       return {
         kind,
         from,
-        term: r.number(),
-        jobs: r.list(() => ({ id: r.text(), done: r.number(), running: r.number() })),
+        term: reader.number(),
+        jobs: reader.list(() => ({ id: reader.text(), done: reader.number(), running: reader.number() })),
       };
-    case "serving":
+    case "report server update":
       return {
         kind,
         from,
-        term: r.number(),
-        life: r.number(),
-        seq: r.number(),
-        echoMs: r.number(),
-        retoldMs: r.number(),
-        askMs: r.number(),
-        machines: r.number(),
-        lagMs: r.number(),
-        heard: r.list(() => ({ machine: r.text(), session: r.big(), tick: r.big() })),
-        reports: r.list(() => ({ ageMs: r.number(), report: readReport(r) })),
-        told: r.list(() => ({ id: r.text(), at: new Date(r.number()) })),
-        toldSeq: r.number(),
-        toldAll: r.flag(),
+        term: reader.number(),
+        life: reader.number(),
+        sequence: reader.number(),
+        echoedStampMs: reader.number(),
+        resyncedStampMs: reader.number(),
+        askMs: reader.number(),
+        machines: reader.number(),
+        lagMs: reader.number(),
+        unchanged: reader.list(() => ({ machine: reader.text(), session: reader.big(), tick: reader.big() })),
+        reports: reader.list(() => ({ ageMs: reader.number(), report: readReport(reader) })),
+        cancellations: reader.list(() => ({ id: reader.text(), at: new Date(reader.number()) })),
+        cancellationSeq: reader.number(),
+        cancellationsComplete: reader.flag(),
       };
     case "grant":
       return {
         kind,
         from,
-        term: r.number(),
-        life: r.number(),
-        askMs: r.number(),
-        forMs: r.number(),
-        homeMs: r.number(),
-        stampMs: r.number(),
-        served: r.flag(),
-        resync: r.flag(),
-        toldSeq: r.number(),
-        barred: r.list(() => r.text()),
-        homes: r.list(() => ({ node: r.text(), machines: r.number(), lagMs: r.number() })),
+        term: reader.number(),
+        life: reader.number(),
+        askMs: reader.number(),
+        forMs: reader.number(),
+        zoneForMs: reader.number(),
+        stampMs: reader.number(),
+        stateServed: reader.flag(),
+        resync: reader.flag(),
+        cancellationSeq: reader.number(),
+        quarantined: reader.list(() => reader.text()),
+        servers: reader.list(() => ({
+          node: reader.text(),
+          machines: reader.number(),
+          lagMs: reader.number(),
+        })),
       };
-    case "errands":
+    case "deliveries":
       return {
         kind,
         from,
-        term: r.number(),
-        errands: r.list(() => ({
-          machine: r.text(),
-          address: r.text(),
-          token: r.big(),
-          session: r.big(),
-          commands: r.list(readCommand),
+        term: reader.number(),
+        deliveries: reader.list(() => ({
+          machine: reader.text(),
+          address: reader.text(),
+          token: reader.big(),
+          session: reader.big(),
+          commands: reader.list(readCommand),
         })),
       };
-    case "errands back":
+    case "delivery results":
       return {
         kind,
         from,
-        term: r.number(),
-        results: r.list(() => ({
-          machine: r.text(),
-          token: r.big(),
-          status: r.number() || null,
-          neverSent: r.flag(),
-          report: r.flag() ? readReport(r) : null,
+        term: reader.number(),
+        results: reader.list(() => ({
+          machine: reader.text(),
+          token: reader.big(),
+          status: reader.number() || null,
+          neverSent: reader.flag(),
+          report: reader.flag() ? readReport(reader) : null,
         })),
       };
   }
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -29,11 +29,11 @@
 export function encodeCommit(guards: Guard[], changes: Change[]): Json {
   return {
     guards: guards.map((g) => ({ path: g.key, stamp: g.version })),
-    then: changes.map((c) => {
-      if ("drop" in c) return { drop: c.drop };
-      return c.lease === undefined
-        ? { set: c.put, data: c.value }
-        : { set: c.put, data: c.value, tenure: c.lease };
+    then: changes.map((change) => {
+      if ("drop" in change) return { drop: change.drop };
+      return change.lease === undefined
+        ? { set: change.put, data: change.value }
+        : { set: change.put, data: change.value, tenure: change.lease };
     }),
   };
 }
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -46,7 +46,7 @@
     priority: need(
       "rank",
       (v) => (typeof v === "string" && Object.hasOwn(PRIORITIES, v) ? PRIORITIES[v]! : null),
-      1 as Priority,
+      1,
     ),
     tasks: need(
       "spores",
--- a/src/service.ts
+++ b/src/service.ts
@@ -3,13 +3,13 @@
 import { keys } from "./bookkeeping/records.js";
 import { JobFeed } from "./bookkeeping/jobFeed.js";
 import { StateClient } from "./bookkeeping/stateClient.js";
-import { Admission } from "./coordination/admission.js";
-import { CloudDesk } from "./coordination/cloudDesk.js";
-import { Leader } from "./coordination/leader.js";
-import { CommandSender } from "./coordination/commandSender.js";
-import { Dispatch } from "./coordination/dispatch.js";
-import { Elector } from "./coordination/election.js";
-import { ReportServer } from "./coordination/reportServer.js";
+import { Admission } from "./coordination/admission/admission.js";
+import { CloudClient } from "./coordination/provisioning/cloudClient.js";
+import { Leader } from "./coordination/leadership/leader.js";
+import { CommandSender } from "./coordination/commands/commandSender.js";
+import { CommandRouter } from "./coordination/commands/commandRouter.js";
+import { Elector } from "./coordination/leadership/election.js";
+import { ReportServer } from "./coordination/reports/reportServer.js";
 import { parseJson } from "./protocol/checks.js";
 import { decodeTypes } from "./protocol/cloud.js";
 import { decodePeer, encodePeer, PEER_VERSION, type PeerMessage } from "./protocol/peers.js";
@@ -21,13 +21,13 @@
 import type { HttpCaller } from "./transport/httpClient.js";
 import { HttpClient } from "./transport/httpClient.js";
 import { startHttpServer, type Answer, type Incoming } from "./transport/httpServer.js";
-import { LagMeter } from "./transport/lag.js";
+import { EventLoopLagMeter } from "./transport/eventLoopLag.js";
 import { log } from "./transport/log.js";
 import { PeerLinks, type PeerPort } from "./transport/peerLink.js";
 
 const MAX_BODY = 64 * 1024;
-/** A hold shorter than this would be lost to a slow answer now and then. */
-const HOLD_MS = 4000;
+/** A leadership lease shorter than this would be lost to a slow answer now and then. */
+const LEADERSHIP_LEASE_MS = 4000;
 const PROBE_MS = 500;
 const DIRECT_MS = 3000;
 /** Reads for questions are no closer together than this. */
@@ -57,10 +57,10 @@
   readonly elector: Elector;
   readonly leader: Leader;
   readonly admission: Admission;
-  private readonly cloud: CloudDesk;
+  private readonly cloud: CloudClient;
   private readonly reportServer: ReportServer;
-  private readonly dispatch: Dispatch;
-  private readonly lag: LagMeter;
+  private readonly dispatch: CommandRouter;
+  private readonly lag: EventLoopLagMeter;
   private typesKnown = false;
   private inFlight = 0;
   private leaderServedMs = -Infinity;
@@ -78,7 +78,7 @@
       writeRps: platform.stateWriteRps,
       nodes: platform.size,
     });
-    this.lag = new LagMeter(clock);
+    this.lag = new EventLoopLagMeter(clock);
     // All nodes' reads for questions together take less than half of what the service serves; and nobody minds a
     // question answered a moment later, while each read costs this node as much as several answers.
     const feed = new JobFeed(
@@ -92,17 +92,17 @@
       clock,
       teams: platform.teams,
       valueBytes: platform.stateValueKb * 1024,
-      onCancelTold: (id, at) => this.reportServer.tell({ kind: "cancel told", id, at }),
+      onCancelTold: (id, at) => this.reportServer.tell({ kind: "cancellation confirmed", id, at }),
     });
-    this.cloud = new CloudDesk(out.cloud, clock, platform.cloud, platform.cloudRps, (news) =>
+    this.cloud = new CloudClient(out.cloud, clock, platform.cloud, platform.cloudRps, (news) =>
       this.leader.tell({ kind: "cloud", news }),
     );
-    this.dispatch = new Dispatch(
+    this.dispatch = new CommandRouter(
       platform.node,
       clock,
       new CommandSender(out.workers, DIRECT_MS),
       send,
-      (term, result) => this.leader.tell({ kind: "errand", term, result }),
+      (term, result) => this.leader.tell({ kind: "delivery finished", term, result }),
     );
     const others = platform.peers.map((p) => p.name);
     const lagMs = (): number => this.lag.lagMs;
@@ -112,11 +112,11 @@
       state: this.state,
       clock,
       cloud: this.cloud,
-      errand: (term, via, errand) => this.dispatch.errand(term, via, errand),
+      deliver: (term, via, delivery) => this.dispatch.deliver(term, via, delivery),
       sendGrant: send,
-      onHomes: (homes) => this.reportServer.tell({ kind: "homes", homes }),
-      onAckLimits: (limits) => this.reportServer.tell({ kind: "ack limits", limits }),
-      served: () => this.reportServer.served,
+      onServers: (servers) => this.reportServer.tell({ kind: "servers", servers }),
+      onLimits: (limits) => this.reportServer.tell({ kind: "limits", limits }),
+      workerCount: () => this.reportServer.workerCount,
       lagMs,
       onDeposed: (term) => this.elector.tell({ kind: "deposed", term }),
       onBehind: (term) => this.elector.tell({ kind: "behind", term }),
@@ -124,9 +124,9 @@
         this.typesKnown = true;
         this.admission.tell({ kind: "types", types });
       },
-      onTally: (term, jobs) => {
-        this.admission.tell({ kind: "tally", jobs });
-        for (const peer of others) send(peer, { kind: "tally", from: platform.node, term, jobs });
+      onTaskCounts: (term, jobs) => {
+        this.admission.tell({ kind: "task counts", jobs });
+        for (const peer of others) send(peer, { kind: "task counts", from: platform.node, term, jobs });
       },
     });
     this.reportServer = new ReportServer({
@@ -139,10 +139,10 @@
       life: Math.floor(out.random() * 2 ** 47),
       clock,
       reportS: platform.reportS,
-      keepToldMs: (platform.cancelS + platform.leaseS + 10) * 1000,
+      keepCancellationsMs: (platform.cancelS + platform.leaseS + 10) * 1000,
       toLeader: send,
       toNeighbour: send,
-      toLeaderHere: (serving) => this.leader.tell({ kind: "serving", serving }),
+      toLeaderHere: (serving) => this.leader.tell({ kind: "report server update", serving }),
       onLaterTerm: (term) => this.elector.tell({ kind: "deposed", term }),
       lagMs,
     });
@@ -154,7 +154,7 @@
       clock,
       send,
       random: out.random,
-      ttlMs: HOLD_MS,
+      leaseMs: LEADERSHIP_LEASE_MS,
       probeMs: PROBE_MS,
       onNews: (news) => {
         // The leader first: the report server tells it of its workers at once.
@@ -216,25 +216,25 @@
     switch (message.kind) {
       case "hello":
         break;
-      case "tally":
-        this.admission.tell({ kind: "tally", jobs: message.jobs });
+      case "task counts":
+        this.admission.tell({ kind: "task counts", jobs: message.jobs });
         break;
-      case "serving":
-        this.leader.tell({ kind: "serving", serving: message });
+      case "report server update":
+        this.leader.tell({ kind: "report server update", serving: message });
         break;
       case "grant":
-        if (message.served) this.leaderServedMs = this.out.clock.nowMs();
+        if (message.stateServed) this.leaderServedMs = this.out.clock.nowMs();
         this.reportServer.tell({ kind: "grant", grant: message });
         break;
-      case "alone":
-        this.reportServer.tell({ kind: "alone", from: message.from, term: message.term });
+      case "isolated":
+        this.reportServer.tell({ kind: "isolated", from: message.from, term: message.term });
         break;
-      case "errands":
-        this.dispatch.asked(message.from, message.term, message.errands);
+      case "deliveries":
+        this.dispatch.deliverFor(message.from, message.term, message.deliveries);
         break;
-      case "errands back":
+      case "delivery results":
         for (const result of message.results)
-          this.leader.tell({ kind: "errand", term: message.term, result });
+          this.leader.tell({ kind: "delivery finished", term: message.term, result });
         break;
       default:
         this.elector.tell({ kind: "peer", message });
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -111,7 +111,7 @@
 export function readPlatform(text: string): Platform {
   let root: Table;
   try {
-    root = parse(text) as Table;
+    root = parse(text);
   } catch (error) {
     throw new SettingsError(`not TOML: ${(error as Error).message.split("\n")[0]}`);
   }
--- a/src/transport/lag.ts
+++ b/src/transport/eventLoopLag.ts
@@ -4,7 +4,7 @@
 const STEP_MS = 400;
 
 /** How far behind this process is: how late its timers fire, averaged over about two seconds. */
-export class LagMeter {
+export class EventLoopLagMeter {
   lagMs = 0;
   private timer: Timer | null = null;
 
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -76,7 +76,7 @@
 
   send(peer: string, payload: Buffer): boolean {
     const socket = this.out.get(peer);
-    // A link that doesn't drain belongs to a silent peer: late vouching is worth nothing, so drop.
+    // A link that doesn't drain belongs to a silent peer: a late confirmation is worth nothing, so drop.
     if (!socket || payload.length > MAX_FRAME || socket.writableLength > 4 * MAX_FRAME) return false;
     socket.write(frame(payload));
     return true;
--- a/src/transport/bucket.ts
+++ b/src/transport/tokenBucket.ts
@@ -1,5 +1,5 @@
 /** A token bucket: `perSecond` on average, `burst` at once. */
-export class Bucket {
+export class TokenBucket {
   private level: number;
   private lastMs: number;
 
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { play, type Day } from "./standins/day.js";
+import { play, type Day } from "./fakes/day.js";
 import {
   alone,
   anyNode,
@@ -16,10 +16,10 @@
   isWorker,
   leaderHost,
   type Trouble,
-} from "./standins/troubles.js";
-import { World } from "./standins/world.js";
+} from "./fakes/troubles.js";
+import { World } from "./fakes/world.js";
 
-/** Whole days on stand-ins: whatever fails, no rule breaks, and every accepted job comes to its end. */
+/** Whole days on fakes: whatever fails, no rule breaks, and every accepted job comes to its end. */
 const days: Day[] = [
   { name: "quiet", at: [] },
   { name: "late copies of old requests", repeat: 0.2, at: [] },
@@ -88,11 +88,11 @@
     at: [
       [
         15,
-        (w) => {
+        (world) => {
           const inB = new Set(
-            [...w.workers.values()].filter((x) => x.tuft.patch === "b").map((x) => x.tuft.address),
+            [...world.workers.values()].filter((x) => x.tuft.patch === "b").map((x) => x.tuft.address),
           );
-          w.net.cut(
+          world.net.cut(
             (h) => inB.has(h),
             () => true,
             18_000,
--- a/test/draw.ts
+++ b/test/draw.ts
@@ -2,7 +2,7 @@
  * Plays drawn days one after the other, without the test runner: `npm run draw -- FIRST COUNT`. Each that fails is
  * printed with its seed and schedule; the same seed plays the same day again.
  */
-import { playDrawn, tell } from "./standins/drawnDay.js";
+import { playDrawn, tell } from "./fakes/drawnDay.js";
 
 const [first, count] = process.argv.slice(2).map(Number);
 if (!Number.isInteger(first) || !Number.isInteger(count)) {
--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { place, type Hold } from "../src/coordination/placement.js";
-import { emptyView, type JobView, type MachineView } from "../src/coordination/views.js";
+import { place } from "../src/coordination/scheduling/placement.js";
+import type { Reservation } from "../src/coordination/scheduling/placementPlan.js";
+import { emptyView, type JobView, type MachineView } from "../src/coordination/scheduling/views.js";
 import type { JobSpec, MachineType } from "../src/protocol/model.js";
-import { World } from "./standins/world.js";
+import { World } from "./fakes/world.js";
 
 const ROOMY = { one: { cpus: 5000, gpus: 500 }, two: { cpus: 5000, gpus: 500 } };
 
@@ -12,28 +13,28 @@
  * long. The largest must begin within four minutes, and the small ones must not stand still for it.
  */
 test("a gang of 32 whole machines in one zone begins under a steady stream of small gangs", async () => {
-  const w = new World(21, { size: 5, capacity: 44, limits: ROOMY });
-  await w.run(3);
+  const world = new World(21, { size: 5, capacity: 44, limits: ROOMY });
+  await world.run(3);
   const gang = { form: "ensemble", gpus: 2, cores: 8, memoryGb: 30, together: true, cairnS: 2, stashS: 1 };
   let n = 0;
   const small = (): void => {
-    w.submit({ ...gang, ref: `job-1${String(n++).padStart(5, "0")}`, crew: "two", spores: 1 }, 12);
+    world.submit({ ...gang, ref: `job-1${String(n++).padStart(5, "0")}`, crew: "two", spores: 1 }, 12);
   };
   for (let i = 0; i < 44; i++) small();
-  await w.run(6);
+  await world.run(6);
   for (let i = 0; i < 14; i++) {
     for (let k = 0; k < 3; k++) small();
-    await w.run(1);
+    await world.run(1);
   }
-  const big = w.submit({ ...gang, ref: "job-000032", crew: "one", spores: 32 }, 10);
+  const big = world.submit({ ...gang, ref: "job-000032", crew: "one", spores: 32 }, 10);
   for (let s = 0; s < 240 && big.beganMs === null; s++) {
     for (let i = 0; i < 3; i++) small();
-    await w.run(1);
+    await world.run(1);
   }
   assert.ok(big.beganMs !== null, "began within four minutes");
-  assert.deepEqual(w.broken, []);
-  await w.run(45);
-  const jobs = [...w.jobs.values()];
+  assert.deepEqual(world.broken, []);
+  await world.run(45);
+  const jobs = [...world.jobs.values()];
   const begun = jobs.filter((j) => j.beganMs !== null).length;
   assert.ok(begun * 2 > jobs.length, `${begun} of ${jobs.length} begun`);
   assert.equal(big.told, "done");
@@ -72,88 +73,91 @@
 }
 
 test("an array of 300 tasks begins though smaller ones with nearer deadlines never end", async () => {
-  const w = new World(22, { size: 5, capacity: 10, limits: ROOMY });
-  await w.run(3);
+  const world = new World(22, { size: 5, capacity: 10, limits: ROOMY });
+  await world.run(3);
   let n = 0;
   const small = (): void => {
     const ref = `job-1${String(n++).padStart(5, "0")}`;
-    w.submit({ ref, crew: "two", spores: 8, cores: 2, memoryGb: 4, dueS: 30 }, 6);
+    world.submit({ ref, crew: "two", spores: 8, cores: 2, memoryGb: 4, dueS: 30 }, 6);
   };
   for (let i = 0; i < 15; i++) small();
-  await w.run(15);
-  const big = w.submit({ ref: "job-000300", crew: "one", spores: 300, cores: 2, memoryGb: 4, dueS: 60 }, 6);
+  await world.run(15);
+  const big = world.submit(
+    { ref: "job-000300", crew: "one", spores: 300, cores: 2, memoryGb: 4, dueS: 60 },
+    6,
+  );
   for (let s = 0; s < 240 && big.beganMs === null; s++) {
     small();
     if (s % 2) small();
-    await w.run(1);
+    await world.run(1);
   }
   assert.ok(big.beganMs !== null, "began within four minutes");
-  assert.deepEqual(w.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 /** Hearing a machine is no proof that it hears us: placed there, work would wait until a lease proves it gone. */
 test("a machine that answers and commands don't reach gets no new work, and is trusted again afterwards", async () => {
-  const w = new World(23, { size: 5, capacity: 4 });
-  await w.run(3);
+  const world = new World(23, { size: 5, capacity: 4 });
+  await world.run(3);
   const service = { form: "standing", rank: "prod", cores: 2, windfall: false };
-  w.submit({ ref: "job-000001", ...service, spores: 6, memoryGb: 8 }, null);
-  await w.run(20);
-  const deaf = [...w.workers.values()].find((x) => x.tasks.size > 0)!;
+  world.submit({ ref: "job-000001", ...service, spores: 6, memoryGb: 8 }, null);
+  await world.run(20);
+  const deaf = [...world.workers.values()].find((x) => x.tasks.size > 0)!;
   const address = deaf.tuft.address;
-  w.net.cut(
+  world.net.cut(
     () => true,
     (h) => h === address,
     30_000,
     true,
   );
-  await w.run(0.5);
+  await world.run(0.5);
   // What is on its way when it falls deaf is lost; whatever comes after that goes elsewhere.
-  const first = w.submit({ ref: "job-000002", crew: "two", spores: 12, cores: 1, memoryGb: 1 }, 2);
-  await w.run(9);
+  const first = world.submit({ ref: "job-000002", crew: "two", spores: 12, cores: 1, memoryGb: 1 }, 2);
+  await world.run(9);
   const late = [];
   for (let i = 0; i < 24; i++) {
     const ref = `job-0001${String(i).padStart(2, "0")}`;
-    late.push(w.submit({ ref, crew: "two", spores: 1, cores: 1, memoryGb: 1 }, 2));
-    await w.run(0.4);
+    late.push(world.submit({ ref, crew: "two", spores: 1, cores: 1, memoryGb: 1 }, 2));
+    await world.run(0.4);
   }
-  await w.run(5);
+  await world.run(5);
   for (const j of late) {
     assert.ok(
       j.beganMs !== null && j.beganMs - j.askedMs < 7500,
       `${j.spec.ref} began after ${j.beganMs! - j.askedMs} ms`,
     );
   }
-  await w.run(40);
+  await world.run(40);
   assert.equal(first.told, "done");
-  assert.deepEqual(w.broken, []);
-  assert.equal(w.live("job-000001").length, 6);
+  assert.deepEqual(world.broken, []);
+  assert.equal(world.live("job-000001").length, 6);
 });
 
 /** It answers commands, so starts would succeed there, and die with the lease that no report renews. */
 test("a machine whose reports reach no controller gets no new work, though commands reach it", async () => {
-  const w = new World(24, { size: 5, capacity: 6 });
-  await w.run(3);
+  const world = new World(24, { size: 5, capacity: 6 });
+  await world.run(3);
   const accel = { crew: "two", spores: 1, cores: 0.25, breeds: ["accel"], memoryGb: 1, windfall: false };
-  w.submit({ ref: "job-000001", ...accel }, 3);
-  await w.run(12);
-  const [ref] = [...w.workers].find(([, x]) => x.tuft.breed === "accel")!;
+  world.submit({ ref: "job-000001", ...accel }, 3);
+  await world.run(12);
+  const [ref] = [...world.workers].find(([, x]) => x.tuft.breed === "accel")!;
   const begun: string[] = [];
-  w.onTaskStart = (on, task) => {
+  world.onTaskStart = (on, task) => {
     if (on.tuft.ref === ref) begun.push(task.spore);
   };
-  w.ignoreReports(ref, 60_000);
+  world.ignoreReports(ref, 60_000);
   // Work for this kind of machine alone keeps coming, so that commands keep going there and their answers coming back.
   const late = [];
   for (let i = 0; i < 40; i++) {
-    late.push(w.submit({ ref: `job-0001${String(i).padStart(2, "0")}`, ...accel }, 1));
-    await w.run(0.5);
+    late.push(world.submit({ ref: `job-0001${String(i).padStart(2, "0")}`, ...accel }, 1));
+    await world.run(0.5);
     // So long it may have been heard before its reports stopped.
     if (i === 12) begun.length = 0;
   }
   assert.deepEqual(begun, [], "nothing began there");
-  await w.run(20);
+  await world.run(20);
   for (const j of late) assert.ok(j.done.size === 1, `${j.spec.ref} done`);
-  assert.deepEqual(w.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 function type(name: string, cpus: number): MachineType {
@@ -209,12 +213,16 @@
   };
 }
 
-function input(jobs: JobView[], machines: MachineView[], holds: Hold[] = []): Parameters<typeof place>[0] {
+function input(
+  jobs: JobView[],
+  machines: MachineView[],
+  holds: Reservation[] = [],
+): Parameters<typeof place>[0] {
   return {
     jobs,
     machines,
     coming: [],
-    holds,
+    reservations: holds,
     quota: {
       room: () => Infinity,
       roomWhenStopped: () => Infinity,
@@ -222,7 +230,7 @@
       take: () => undefined,
     },
     maxEvictions: 40,
-    maxMakers: 8,
+    maxPreemptors: 8,
     mayStop: () => false,
     refused: () => false,
     guaranteed: () => true,
@@ -240,7 +248,7 @@
   });
 }
 
-test("a pass over hundreds of full machines looks at those with room, not at jobs times machines", () => {
+test("a cycle over hundreds of full machines looks at those with room, not at jobs times machines", () => {
   const jobs = Array.from({ length: 120 }, (_, i) => job(i));
   const plan = place(
     input(
@@ -254,14 +262,14 @@
     "what room there is, is used",
   );
   // Once for the list of those with room, then a handful for each job until nothing is left.
-  assert.ok(plan.looked < 600 + 120 * 6 + 1, `${plan.looked} looks`);
+  assert.ok(plan.machinesExamined < 600 + 120 * 6 + 1, `${plan.machinesExamined} looks`);
   const idle = place(
     input(
       [job(1), job(2)],
       machines(600, () => false),
     ),
   );
-  assert.ok(idle.looked <= 3 * 600, `${idle.looked} looks with room everywhere`);
+  assert.ok(idle.machinesExamined <= 3 * 600, `${idle.machinesExamined} looks with room everywhere`);
 });
 
 test("room is sought by stopping others once for a shape that nobody's going helps, not once for each job", () => {
@@ -269,7 +277,10 @@
   const full = machines(1000, () => true);
   const plan = place({ ...input(jobs, full), mayStop: () => true });
   assert.deepEqual([plan.placements.length, plan.evictions.length], [0, 0]);
-  assert.ok(plan.looked <= 2 * 1000, `${plan.looked} looks at 1,000 machines for ${jobs.length} jobs`);
+  assert.ok(
+    plan.machinesExamined <= 2 * 1000,
+    `${plan.machinesExamined} looks at 1,000 machines for ${jobs.length} jobs`,
+  );
 });
 
 test("room kept for a gang is lent to what is over before the rest of it comes, and to nothing else", () => {
@@ -282,7 +293,7 @@
     ),
   );
   assert.equal(start.placements.length, 0, "two in each zone do not hold a gang of three");
-  assert.equal(start.holds.length, 2);
+  assert.equal(start.reservations.length, 2);
   const cases: [string, number, boolean][] = [
     ["short", 5, true],
     ["long", 500, false],
@@ -292,10 +303,10 @@
       tasks: 1,
       cpus: 16,
       memoryGb: 10,
-      zone: start.holds[0]!.machine === "host-0" ? "b" : "a",
+      zone: start.reservations[0]!.machine === "host-0" ? "b" : "a",
     });
     other.taskS = taskS;
-    const holds = start.holds.map((h) => ({ ...h, etaS: 60 }));
+    const holds = start.reservations.map((h) => ({ ...h, etaS: 60 }));
     const plan = place(
       input(
         [other, gang],
@@ -313,47 +324,47 @@
 
 /** A node with too many questions at once sheds some; the same ones each time would be jobs that are forgotten. */
 test("a full node sheds questions, but no job's every time", async () => {
-  const w = new World(33, { size: 5 });
-  await w.run(3);
+  const world = new World(33, { size: 5 });
+  await world.run(3);
   const refs = Array.from({ length: 420 }, (_, i) => `job-7${String(i).padStart(5, "0")}`);
-  for (const ref of refs) w.submit({ ref, spores: 1, cores: 0.125, memoryGb: 0.125, crew: "two" }, null);
-  await w.run(25);
+  for (const ref of refs) world.submit({ ref, spores: 1, cores: 0.125, memoryGb: 0.125, crew: "two" }, null);
+  await world.run(25);
   const answered = new Map(refs.map((ref) => [ref, 0]));
   let shed = 0;
   for (let round = 0; round < 20; round++) {
     for (const ref of refs) {
-      void w.ask("GET", `/v1/jobs/${ref}`, undefined, "n0").then((r) => {
+      void world.ask("GET", `/v1/jobs/${ref}`, undefined, "n0").then((r) => {
         if (r.status === 200) answered.set(ref, answered.get(ref)! + 1);
         else shed++;
       });
     }
-    await w.run(2.5);
+    await world.run(2.5);
   }
   assert.ok(shed > 200, `${shed} were shed`);
   const worst = Math.min(...answered.values());
   assert.ok(worst >= 3, `each job is answered within 75 s, the worst ${worst} of 20 times`);
-  assert.deepEqual(w.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 /** Copies of its last report, for ever and at every node, must not keep a machine that is gone alive in anybody's eyes. */
 test("late copies of a lost machine's report neither renew its lease nor bring it back", async () => {
-  const w = new World(34, { size: 5, capacity: 6 });
+  const world = new World(34, { size: 5, capacity: 6 });
   const sent = new Map<string, unknown>();
-  w.onReport = (body) => sent.set((body as { tuft: string }).tuft, body);
-  await w.run(3);
+  world.onReport = (body) => sent.set((body as { tuft: string }).tuft, body);
+  await world.run(3);
   const service = { form: "standing", rank: "prod", cores: 2, memoryGb: 4, windfall: false };
-  w.submit({ ref: "job-000001", ...service, spores: 4 }, null);
-  await w.run(20);
-  const lost = [...w.workers.values()].find((x) => x.tasks.size > 0)!;
+  world.submit({ ref: "job-000001", ...service, spores: 4 }, null);
+  await world.run(20);
+  const lost = [...world.workers.values()].find((x) => x.tasks.size > 0)!;
   const { ref } = lost.tuft;
   const copy = sent.get(ref)!;
-  w.cloud.take(ref);
+  world.cloud.take(ref);
   for (let i = 0; i < 40; i++) {
-    for (const node of w.names) void w.ask("POST", "/checkin", copy, node).catch(() => undefined);
-    if (i === 25) w.crash(w.leader!, 90);
-    await w.run(0.5);
+    for (const node of world.names) void world.ask("POST", "/checkin", copy, node).catch(() => undefined);
+    if (i === 25) world.crash(world.leader!, 90);
+    await world.run(0.5);
   }
-  assert.equal(w.live("job-000001").length, 4, "its tasks run elsewhere, a lease later");
-  assert.ok([...w.workers.keys()].every((name) => name !== ref));
-  assert.deepEqual(w.broken, []);
+  assert.equal(world.live("job-000001").length, 4, "its tasks run elsewhere, a lease later");
+  assert.ok([...world.workers.keys()].every((name) => name !== ref));
+  assert.deepEqual(world.broken, []);
 });
