--- a/test/standins/cloud.ts
+++ b/test/fakes/cloud.ts
@@ -65,10 +65,10 @@
 
   /** The machine is lost without a word. */
   take(ref: string): void {
-    const t = this.tufts.get(ref);
-    if (!t) return;
+    const tuft = this.tufts.get(ref);
+    if (!tuft) return;
     this.tufts.delete(ref);
-    this.onGone(t);
+    this.onGone(tuft);
   }
 
   private serve(q: SimRequest): Reply {
@@ -89,10 +89,10 @@
     const after = url.searchParams.get("after") ?? "";
     const tufts = [...this.tufts.values()]
       .filter((t) => t.ref > after && this.clock.nowMs() - t.bornMs > this.lagMs)
-      .map((t) => ({
-        ...t,
-        phase: t.up ? "running" : "starting",
-        ageS: (this.clock.nowMs() - t.bornMs) / 1000,
+      .map((tuft) => ({
+        ...tuft,
+        phase: tuft.up ? "running" : "starting",
+        ageS: (this.clock.nowMs() - tuft.bornMs) / 1000,
       }));
     return { status: 200, body: { tufts, more: false } };
   }
@@ -104,7 +104,7 @@
     const names: string[] = [];
     while (names.length < Number(body.howMany) && this.tufts.size < this.capacity) {
       const n = this.next++;
-      const t: SimTuft = {
+      const tuft: SimTuft = {
         ref: `host-${String(n).padStart(6, "0")}`,
         address: `10.1.0.${n}:9000`,
         breed: String(body.breed),
@@ -113,24 +113,24 @@
         bornMs: this.clock.nowMs(),
         up: false,
       };
-      this.tufts.set(t.ref, t);
-      names.push(t.ref);
-      this.bootLater(t);
+      this.tufts.set(tuft.ref, tuft);
+      names.push(tuft.ref);
+      this.bootLater(tuft);
     }
     if (names.length === 0) return { status: 503, body: { error: "no capacity" } };
     this.pleas.set(plea, names);
     return { status: 200, body: { tufts: names } };
   }
 
-  private bootLater(t: SimTuft): void {
-    const bootMs = (this.types.find((x) => x.name === t.breed)?.bootS ?? 5) * 1000;
+  private bootLater(tuft: SimTuft): void {
+    const bootMs = (this.types.find((x) => x.name === tuft.breed)?.bootS ?? 5) * 1000;
     const now = this.clock.nowMs();
     const trouble = this.bootTrouble !== null && now < this.bootTrouble.untilMs ? this.bootTrouble : null;
     if (trouble && this.random() < trouble.neverShare) return;
     this.clock.after(bootMs * (trouble?.factor ?? 1), () => {
-      if (!this.tufts.has(t.ref)) return;
-      t.up = true;
-      this.onBoot(t);
+      if (!this.tufts.has(tuft.ref)) return;
+      tuft.up = true;
+      this.onBoot(tuft);
     });
   }
 }
--- a/test/standins/net.ts
+++ b/test/fakes/net.ts
@@ -17,7 +17,7 @@
   oneWay: boolean;
 }
 
-/** The network between stand-ins: delays, cuts that hold packets and deliver them late, repeated requests. */
+/** The network between the fakes: delays, cuts that hold packets and deliver them late, repeated requests. */
 export class SimNet {
   private readonly hosts = new Map<string, SimHost>();
   private cuts: Cut[] = [];
--- a/test/standins/troubles.ts
+++ b/test/fakes/troubles.ts
@@ -2,7 +2,7 @@
 import type { SimWorker } from "./worker.js";
 import type { SimJob, World } from "./world.js";
 
-/** Users of the stand-in world ask about a job this often. */
+/** Users of the simulated world ask about a job this often. */
 const POLL_EVERY_MS = 2500;
 
 /** One trouble, brought about at the moment of the call. */
@@ -12,41 +12,41 @@
 export const isWorker = (host: string): boolean => host.startsWith("10.");
 export const isState = (host: string): boolean => host === "state:1";
 
-export function leaderName(w: World): string {
-  return w.leader ?? "n0";
+export function leaderName(world: World): string {
+  return world.leader ?? "n0";
 }
 
 /** The leader's host. */
-export function leaderHost(w: World): string {
-  return `${leaderName(w)}:80`;
+export function leaderHost(world: World): string {
+  return `${leaderName(world)}:80`;
 }
 
-export function followers(w: World): string[] {
-  return w.names.filter((n) => n !== w.leader);
+export function followers(world: World): string[] {
+  return world.names.filter((n) => n !== world.leader);
 }
 
-export function anyNode(w: World): string {
-  return w.names[Math.floor(w.random() * w.names.length)]!;
+export function anyNode(world: World): string {
+  return world.names[Math.floor(world.random() * world.names.length)]!;
 }
 
-export function anyWorker(w: World): SimWorker | undefined {
-  const all = [...w.workers.values()];
-  return all[Math.floor(w.random() * all.length)];
+export function anyWorker(world: World): SimWorker | undefined {
+  const all = [...world.workers.values()];
+  return all[Math.floor(world.random() * all.length)];
 }
 
 export const crashLeader =
   (backMs: number): Trouble =>
-  (w) =>
-    w.crash(leaderName(w), backMs);
+  (world) =>
+    world.crash(leaderName(world), backMs);
 
 export const crashAll =
   (backMs: number): Trouble =>
-  (w) =>
-    w.names.forEach((n) => w.crash(n, backMs));
+  (world) =>
+    world.names.forEach((n) => world.crash(n, backMs));
 
 /** Cuts one controller off from those hosts, itself not among them. */
-export function cutOff(w: World, host: string, from: (host: string) => boolean, forMs: number): void {
-  w.net.cut(
+export function cutOff(world: World, host: string, from: (host: string) => boolean, forMs: number): void {
+  world.net.cut(
     (h) => h === host,
     (h) => h !== host && from(h),
     forMs,
@@ -54,29 +54,29 @@
 }
 
 /** Without the state service and the other controllers, but not without its workers and users. */
-export function alone(w: World, host: string, forMs: number): void {
-  cutOff(w, host, (h) => isState(h) || isPeer(h), forMs);
+export function alone(world: World, host: string, forMs: number): void {
+  cutOff(world, host, (h) => isState(h) || isPeer(h), forMs);
 }
 
-export function cutLeader(w: World, from: (host: string) => boolean, forMs: number): void {
-  cutOff(w, leaderHost(w), from, forMs);
+export function cutLeader(world: World, from: (host: string) => boolean, forMs: number): void {
+  cutOff(world, leaderHost(world), from, forMs);
 }
 
 /** Zone b's machines, and that controller with them, reach nothing else of what `from` names. */
 export function cutZone(
-  w: World,
+  world: World,
   name: string,
   forMs: number,
   from: (host: string) => boolean = () => true,
 ): void {
-  const inside = w.inZone("b", `${name}:80`);
-  w.net.cut(inside, (h) => !inside(h) && from(h), forMs);
+  const inside = world.inZone("b", `${name}:80`);
+  world.net.cut(inside, (h) => !inside(h) && from(h), forMs);
 }
 
 /** So many machines are heard, but answers and commands to them are lost in time. */
-export function deafen(w: World, count: number, forMs: number): void {
-  const deaf = new Set([...w.workers.values()].slice(0, count).map((x) => x.tuft.address));
-  w.net.cut(
+export function deafen(world: World, count: number, forMs: number): void {
+  const deaf = new Set([...world.workers.values()].slice(0, count).map((x) => x.tuft.address));
+  world.net.cut(
     () => true,
     (h) => deaf.has(h),
     forMs,
@@ -85,15 +85,15 @@
 }
 
 /** So many machines reach no controller, while commands reach them. */
-export function mute(w: World, count: number, forMs: number): void {
-  const names = [...w.workers.keys()];
-  const from = Math.floor(w.random() * names.length);
-  for (let i = 0; i < count; i++) w.ignoreReports(names[(from + i) % names.length] ?? "", forMs);
+export function mute(world: World, count: number, forMs: number): void {
+  const names = [...world.workers.keys()];
+  const from = Math.floor(world.random() * names.length);
+  for (let i = 0; i < count; i++) world.ignoreReports(names[(from + i) % names.length] ?? "", forMs);
 }
 
 /** One that goes on far beyond the day, unless it is cancelled. */
-export function longJob(w: World, i: number): SimJob {
-  return w.submit(
+export function longJob(world: World, i: number): SimJob {
+  return world.submit(
     {
       ref: `job-9${String(i).padStart(5, "0")}`,
       crew: i % 2 ? "one" : "two",
@@ -107,20 +107,20 @@
 }
 
 /** Jobs that run and were not called off, the ones with long to go first. */
-function running(w: World): SimJob[] {
-  return [...w.jobs.values()]
-    .filter((j) => j.accepted && !j.cancelAsked && j.told === null && w.live(j.spec.ref).length > 0)
+function running(world: World): SimJob[] {
+  return [...world.jobs.values()]
+    .filter((j) => j.accepted && !j.cancelAsked && j.told === null && world.live(j.spec.ref).length > 0)
     .sort((a, b) => (b.runS ?? 1e9) - (a.runS ?? 1e9));
 }
 
 /** Their users call off so many of them within a fifth of a second; with `hangMs` up to eight of their machines hang. */
-export function cancelRunning(w: World, count: number, hangMs = 0, at?: string): void {
+export function cancelRunning(world: World, count: number, hangMs = 0, at?: string): void {
   const hung = new Set<SimWorker>();
-  for (const job of running(w).slice(0, count)) {
-    w.clock.after(w.random() * 200, () => {
-      w.cancel(job, at);
+  for (const job of running(world).slice(0, count)) {
+    world.clock.after(world.random() * 200, () => {
+      world.cancel(job, at);
       if (hangMs === 0) return;
-      for (const { w: machine } of w.live(job.spec.ref)) {
+      for (const { w: machine } of world.live(job.spec.ref)) {
         if (hung.size >= 8 || hung.has(machine)) continue;
         hung.add(machine);
         machine.hang(hangMs);
@@ -130,69 +130,69 @@
 }
 
 /** At the moment at which a job's last task ends, that share of them is called off, asked about or submitted again. */
-export function meetTheEnd(w: World, share: number, forMs: number): void {
-  const untilMs = w.clock.nowMs() + forMs;
-  w.onTaskEnd = (job, task) => {
-    if (w.clock.nowMs() > untilMs || task.cause !== "done" || job.done.size < job.spec.spores) return;
-    if (w.random() >= share || !job.accepted || job.cancelAsked) return;
-    const what = w.random();
-    const delayMs = w.random() < 0.5 ? 0 : w.random() * 60;
-    w.clock.after(delayMs, () => {
-      if (what < 0.6) w.cancel(job);
-      if (what > 0.4) w.question(job);
-      if (what > 0.7) w.repeat(job);
+export function meetTheEnd(world: World, share: number, forMs: number): void {
+  const untilMs = world.clock.nowMs() + forMs;
+  world.onTaskEnd = (job, task) => {
+    if (world.clock.nowMs() > untilMs || task.cause !== "done" || job.done.size < job.spec.spores) return;
+    if (world.random() >= share || !job.accepted || job.cancelAsked) return;
+    const what = world.random();
+    const delayMs = world.random() < 0.5 ? 0 : world.random() * 60;
+    world.clock.after(delayMs, () => {
+      if (what < 0.6) world.cancel(job);
+      if (what > 0.4) world.question(job);
+      if (what > 0.7) world.repeat(job);
     });
   };
 }
 
 /** Stands still for a minute or more and goes on as it was, with its old term and all that came in meanwhile. */
-export function silence(w: World, node: string, forMs: number): void {
-  w.troubledFor(forMs);
-  w.freeze(node, forMs);
+export function silence(world: World, node: string, forMs: number): void {
+  world.troubledFor(forMs);
+  world.freeze(node, forMs);
 }
 
 /** Users ask about each unfinished job that many times as often as they use to. */
-export function floodOfQuestions(w: World, factor: number, forMs: number): void {
-  const untilMs = w.clock.nowMs() + forMs;
+export function floodOfQuestions(world: World, factor: number, forMs: number): void {
+  const untilMs = world.clock.nowMs() + forMs;
   const next = (): void => {
-    if (w.clock.nowMs() > untilMs) return;
-    w.clock.after(POLL_EVERY_MS / factor, next);
-    for (const job of w.jobs.values()) if (job.accepted && job.told === null) w.question(job);
+    if (world.clock.nowMs() > untilMs) return;
+    world.clock.after(POLL_EVERY_MS / factor, next);
+    for (const job of world.jobs.values()) if (job.accepted && job.told === null) world.question(job);
   };
   next();
 }
 
 /** Jobs that fail on every machine until their users cancel them, once the time is over. */
-export function mistakes(w: World, count: number, cancelledAfterMs: number): void {
+export function mistakes(world: World, count: number, cancelledAfterMs: number): void {
   const forms = [
     { form: "array", spores: 8, cores: 1, rank: "high" },
     { form: "standing", spores: 2, cores: 1, rank: "prod" },
     { form: "ensemble", spores: 2, cores: 1, gpus: 1, rank: "high", together: true },
   ];
   const failing = new Set<string>();
-  const before = w.failing;
-  w.failing = (spore) => failing.has(spore.split("/")[0]!) || before(spore);
+  const before = world.failing;
+  world.failing = (spore) => failing.has(spore.split("/")[0]!) || before(spore);
   for (let i = 0; i < count; i++) {
-    const ref = `job-6${String(w.oddRefs++).padStart(5, "0")}`;
+    const ref = `job-6${String(world.oddRefs++).padStart(5, "0")}`;
     failing.add(ref);
     const form = forms[i % forms.length]!;
-    const job = w.submit({ ref, crew: i % 2 ? "one" : "two", memoryGb: 1, ...form }, 5);
-    w.clock.after(cancelledAfterMs, () => w.cancel(job));
+    const job = world.submit({ ref, crew: i % 2 ? "one" : "two", memoryGb: 1, ...form }, 5);
+    world.clock.after(cancelledAfterMs, () => world.cancel(job));
   }
 }
 
 /** So many machines fail every task that they start. */
-export function faultyMachines(w: World, count: number, forMs: number): void {
-  const names = [...w.workers.keys()].slice(0, count);
-  for (const name of names) w.faultyMachines.add(name);
-  w.clock.after(forMs, () => names.forEach((name) => w.faultyMachines.delete(name)));
+export function faultyMachines(world: World, count: number, forMs: number): void {
+  const names = [...world.workers.keys()].slice(0, count);
+  for (const name of names) world.faultyMachines.add(name);
+  world.clock.after(forMs, () => names.forEach((name) => world.faultyMachines.delete(name)));
 }
 
 /** Some machines are lost, and those rented in their place are in trouble as they boot. */
-export function troubledBoots(w: World, lost: number, trouble: BootTrouble, forMs: number): void {
-  w.troubledFor(forMs);
-  w.cloud.troubleBoots(trouble, forMs);
-  for (let i = 0; i < lost; i++) w.cloud.take(anyWorker(w)?.tuft.ref ?? "");
+export function troubledBoots(world: World, lost: number, trouble: BootTrouble, forMs: number): void {
+  world.troubledFor(forMs);
+  world.cloud.troubleBoots(trouble, forMs);
+  for (let i = 0; i < lost; i++) world.cloud.take(anyWorker(world)?.tuft.ref ?? "");
 }
 
 const GOOD = {
@@ -234,21 +234,21 @@
 ];
 
 /** Users repeat submissions of unfinished jobs, cancel jobs that are done, and send what fits nowhere or lacks a field. */
-export function oddRequests(w: World, forMs: number): void {
-  const untilMs = w.clock.nowMs() + forMs;
+export function oddRequests(world: World, forMs: number): void {
+  const untilMs = world.clock.nowMs() + forMs;
   const next = (): void => {
-    if (w.clock.nowMs() > untilMs) return;
-    w.clock.after(300 + w.random() * 700, next);
-    const jobs = [...w.jobs.values()].filter((j) => j.accepted);
+    if (world.clock.nowMs() > untilMs) return;
+    world.clock.after(300 + world.random() * 700, next);
+    const jobs = [...world.jobs.values()].filter((j) => j.accepted);
     const unfinished = jobs.filter((j) => j.told === null);
     const done = jobs.filter((j) => j.told === "done");
-    const one = (of: SimJob[]): SimJob | undefined => of[Math.floor(w.random() * of.length)];
+    const one = (of: SimJob[]): SimJob | undefined => of[Math.floor(world.random() * of.length)];
     const again = one(unfinished);
-    if (again) w.repeat(again);
+    if (again) world.repeat(again);
     const over = one(done);
-    if (over) w.cancel(over);
-    const [status, change] = NEVER[Math.floor(w.random() * NEVER.length)]!;
-    w.refused(status, { ...GOOD, ref: `job-8${String(w.oddRefs++).padStart(7, "0")}`, ...change });
+    if (over) world.cancel(over);
+    const [status, change] = NEVER[Math.floor(world.random() * NEVER.length)]!;
+    world.refused(status, { ...GOOD, ref: `job-8${String(world.oddRefs++).padStart(7, "0")}`, ...change });
   };
   next();
 }
@@ -265,9 +265,9 @@
     { name: "all away for longer than a lease", play: (w) => crashAll(8500 + w.random() * 3000)(w) },
     {
       name: "ten leaders in a row",
-      play: (w) => {
+      play: (world) => {
         for (let i = 0; i < 10; i++)
-          w.clock.after(i * 3500, () => w.crash(leaderName(w), 40 + w.random() * 3000));
+          world.clock.after(i * 3500, () => world.crash(leaderName(world), 40 + world.random() * 3000));
       },
     },
     { name: "state outage", play: (w) => w.state.outage(upTo(w, 36_000)) },
--- a/test/standins/world.ts
+++ b/test/fakes/world.ts
@@ -190,11 +190,11 @@
       "cloud:1",
       TYPES,
       3000,
-      (t) => {
+      (tuft) => {
         this.workers.set(
-          t.ref,
+          tuft.ref,
           new SimWorker(
-            t,
+            tuft,
             this.clock,
             this.net,
             this.names.map((n) => ({ name: n, address: `${n}:80` })),
@@ -526,9 +526,9 @@
 
   live(ref: string): { w: SimWorker; task: SimTask }[] {
     const out = [];
-    for (const w of this.workers.values()) {
-      for (const task of w.tasks.values()) {
-        if (task.phase !== "exited" && task.spore.startsWith(`${ref}/`)) out.push({ w, task });
+    for (const worker of this.workers.values()) {
+      for (const task of worker.tasks.values()) {
+        if (task.phase !== "exited" && task.spore.startsWith(`${ref}/`)) out.push({ w: worker, task });
       }
     }
     return out;
@@ -545,9 +545,9 @@
     this.onTaskEnd(job, task);
   }
 
-  private onStart(w: SimWorker, task: SimTask): void {
+  private onStart(worker: SimWorker, task: SimTask): void {
     this.started++;
-    this.onTaskStart(w, task);
+    this.onTaskStart(worker, task);
     const ref = task.spore.split("/")[0]!;
     const job = this.jobs.get(ref);
     if (!job) {
@@ -560,7 +560,7 @@
     if (others.some((x) => x.task.spore === task.spore)) this.broken.push(`ran_twice ${task.spore}`);
     if (job.told === "withdrawn" && this.clock.nowMs() - job.toldMs > 25_000)
       this.broken.push(`ran_cancelled ${ref}`);
-    const { breed, patch, windfall } = w.tuft;
+    const { breed, patch, windfall } = worker.tuft;
     const breeds = spec.breeds as string[] | null | undefined;
     const wrong =
       (breeds && !breeds.includes(breed)) ||
@@ -641,12 +641,12 @@
     this.watchBoots(now);
     const free = new Map<SimWorker, { cores: number; gpus: number; memoryGb: number }>();
     const used = { one: { cores: 0, gpus: 0 }, two: { cores: 0, gpus: 0 } };
-    for (const w of this.workers.values()) {
-      const type = TYPES.find((t) => t.name === w.tuft.breed)!;
+    for (const worker of this.workers.values()) {
+      const type = TYPES.find((t) => t.name === worker.tuft.breed)!;
       const left = { cores: type.cores, gpus: type.gpus, memoryGb: type.memoryGb };
-      for (const t of w.tasks.values()) {
-        const spec = this.jobs.get(t.spore.split("/")[0]!)?.spec;
-        if (!spec || t.phase === "exited") continue;
+      for (const task of worker.tasks.values()) {
+        const spec = this.jobs.get(task.spore.split("/")[0]!)?.spec;
+        if (!spec || task.phase === "exited") continue;
         const team = used[spec.crew as "one" | "two"];
         left.cores -= spec.cores;
         team.cores += spec.cores;
@@ -654,7 +654,7 @@
         team.gpus += Number(spec.gpus);
         left.memoryGb -= Number(spec.memoryGb);
       }
-      free.set(w, left);
+      free.set(worker, left);
     }
     for (const job of this.jobs.values()) {
       const { spec } = job;
@@ -673,11 +673,11 @@
 
   /** Troubles over, what never came up is not paid for any longer. */
   private watchBoots(now: number): void {
-    for (const t of this.cloud.tufts.values()) {
-      if (t.up || this.lingering.has(t.ref)) continue;
-      if (now - Math.max(t.bornMs, this.calmFromMs) < NEVER_UP_MS) continue;
-      this.lingering.add(t.ref);
-      this.broken.push(`paid for nothing ${t.ref}: never up since ${t.bornMs}`);
+    for (const tuft of this.cloud.tufts.values()) {
+      if (tuft.up || this.lingering.has(tuft.ref)) continue;
+      if (now - Math.max(tuft.bornMs, this.calmFromMs) < NEVER_UP_MS) continue;
+      this.lingering.add(tuft.ref);
+      this.broken.push(`paid for nothing ${tuft.ref}: never up since ${tuft.bornMs}`);
     }
   }
 
@@ -695,8 +695,8 @@
     if (used[crew].cores + need * spec.cores > limit.cpus || used[crew].gpus + need * gpus > limit.gpus)
       return false;
     const inZone = new Map<string, number>();
-    for (const [w, left] of free) {
-      const { breed, patch, windfall } = w.tuft;
+    for (const [worker, left] of free) {
+      const { breed, patch, windfall } = worker.tuft;
       const breeds = spec.breeds as string[] | null | undefined;
       if ((breeds && !breeds.includes(breed)) || (spec.patch && spec.patch !== patch)) continue;
       if (windfall && spec.windfall !== true) continue;
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -2,10 +2,10 @@
 import test from "node:test";
 import { Job, type Attempt } from "../src/bookkeeping/jobs.js";
 import { Machine } from "../src/bookkeeping/machines.js";
-import { looksFaulty, looksMistaken } from "../src/coordination/faults.js";
-import { hasJustBegun, isLate } from "../src/coordination/placer.js";
+import { looksFaulty, looksMistaken } from "../src/coordination/scheduling/failureDetection.js";
+import { hasJustBegun, isLate } from "../src/coordination/scheduling/scheduler.js";
 import type { JobSpec, MachineType } from "../src/protocol/model.js";
-import { World } from "./standins/world.js";
+import { World } from "./fakes/world.js";
 
 const machine = (name: string): Machine => new Machine(name, null, "a", false, 1, 0);
 
@@ -69,26 +69,26 @@
 
 /** Their users cancel them in the end; until then they are known, and cost the others nothing. */
 test("jobs submitted with a mistake fail everywhere: little room, no machine blamed, the team's other work goes on", async () => {
-  const w = new World(41, { capacity: 10 });
-  w.failing = (ref) => ref.startsWith("job-6");
-  await w.run(3);
+  const world = new World(41, { capacity: 10 });
+  world.failing = (ref) => ref.startsWith("job-6");
+  await world.run(3);
   const bad = [0, 1, 2].map((i) =>
-    w.submit({ ref: `job-60000${i}`, crew: "one", spores: 40, cores: 1, memoryGb: 1, rank: "high" }, 5),
+    world.submit({ ref: `job-60000${i}`, crew: "one", spores: 40, cores: 1, memoryGb: 1, rank: "high" }, 5),
   );
-  await w.run(20);
+  await world.run(20);
   const good = [0, 1, 2, 3].map((i) =>
-    w.submit({ ref: `job-50000${i}`, crew: i % 2 ? "one" : "two", spores: 8, cores: 1, memoryGb: 1 }, 4),
+    world.submit({ ref: `job-50000${i}`, crew: i % 2 ? "one" : "two", spores: 8, cores: 1, memoryGb: 1 }, 4),
   );
-  const before = w.started;
-  await w.run(60);
+  const before = world.started;
+  await world.run(60);
   for (const j of good) assert.equal(j.told, "done", `${j.spec.ref} in time`);
-  assert.ok(w.started - before < 32 + 3 * 2 * 20, `${w.started - before} starts`);
-  const rented = w.cloud.tufts.size;
+  assert.ok(world.started - before < 32 + 3 * 2 * 20, `${world.started - before} starts`);
+  const rented = world.cloud.tufts.size;
   assert.ok(rented <= 6, `${rented} machines for it`);
-  for (const j of bad) w.cancel(j);
-  await w.run(15);
+  for (const j of bad) world.cancel(j);
+  await world.run(15);
   for (const j of bad) assert.equal(j.told, "withdrawn");
-  assert.deepEqual(w.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test("what began late with a task or two isn't stopped for a while; what has many, ended one, or ran long may be", () => {
--- a/test/fences.test.ts
+++ b/test/leaseExpiry.test.ts
@@ -1,27 +1,27 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { isMajority, mayVouch, readLead } from "../src/coordination/election.js";
+import { isMajority, mayConfirmExtension, readLeadership } from "../src/coordination/leadership/election.js";
 import { Job, type Attempt } from "../src/bookkeeping/jobs.js";
 import { Machine } from "../src/bookkeeping/machines.js";
-import { AckBound } from "../src/coordination/ackBound.js";
-import { ToldCancels } from "../src/coordination/toldCancels.js";
+import { AcknowledgementLimits } from "../src/coordination/reports/acknowledgementLimits.js";
+import { ConfirmedCancellations } from "../src/coordination/reports/confirmedCancellations.js";
 import type { JobSpec } from "../src/protocol/model.js";
-import type { Serving } from "../src/protocol/peers.js";
-import { whereTo } from "../src/coordination/reportServer.js";
-import { Servers } from "../src/coordination/servers.js";
+import type { ReportServerUpdate } from "../src/protocol/peers.js";
+import { chooseServer } from "../src/coordination/reports/reportServer.js";
+import { ReportServerRegistry } from "../src/coordination/reports/reportServerRegistry.js";
 import {
   absenceProves,
   firstToken,
-  holdUntilMs,
+  leadershipLeaseUntilMs,
   ackLimitMs,
   DRIFT,
   leaseOverMs,
-  homeGrantMs,
-  silentFromMs,
+  longestZoneLeaseMs,
+  leaseOverEverywhereMs,
   TOKENS_PER_TERM,
-} from "../src/coordination/fences.js";
+} from "../src/coordination/leadership/leaseExpiry.js";
 
-test("absence from a report proves a task gone only behind a fence", () => {
+test("absence from a report proves a task gone only behind a higher token or session", () => {
   const mine = { sentToken: 100, sentSession: 2, inherited: false };
   const old = { sentToken: -1, sentSession: 0, inherited: true };
   const cases: [string, typeof mine, { session: number; token: number }, boolean][] = [
@@ -44,12 +44,12 @@
 });
 
 test("times: our hold ends early, a worker's lease ends late", () => {
-  assert.ok(holdUntilMs(1000, 3000) < 4000);
+  assert.ok(leadershipLeaseUntilMs(1000, 3000) < 4000);
   assert.ok(leaseOverMs(1000, 14) > 15_000 * 1.0005);
   assert.equal(leaseOverMs(Infinity, 14), Infinity);
 });
 
-test("vouching: only by those who are refused too and know of no later term", () => {
+test("extensions: confirmed only by those who are refused too and know of no later term", () => {
   const base = {
     nowMs: 10_000,
     everServed: true,
@@ -66,7 +66,8 @@
     ["refused too long ago to say", { lastRefusedMs: 8100 }, false],
     ["never refused", { lastRefusedMs: -Infinity }, false],
   ];
-  for (const [name, change, want] of cases) assert.equal(mayVouch({ ...base, ...change }), want, name);
+  for (const [name, change, want] of cases)
+    assert.equal(mayConfirmExtension({ ...base, ...change }), want, name);
   for (const [yes, size, want] of [
     [1, 1, true],
     [1, 2, false],
@@ -79,12 +80,12 @@
 });
 
 test("the records of leadership are read as a whole", () => {
-  const view = readLead([
+  const view = readLeadership([
     { key: "lead/hold", value: { n: 4, node: "n1", life: "x", lease: 9 }, version: 12 },
     { key: "lead/term", value: { n: 4, node: "n1" }, version: 11 },
   ]);
-  assert.deepEqual(view, { termVersion: 11, term: 4, hold: { term: 4, node: "n1", life: "x", lease: 9 } });
-  assert.deepEqual(readLead([]), { termVersion: 0, term: 0, hold: null });
+  assert.deepEqual(view, { termVersion: 11, term: 4, record: { term: 4, node: "n1", life: "x", lease: 9 } });
+  assert.deepEqual(readLeadership([]), { termVersion: 0, term: 0, record: null });
 });
 
 test("a lease is over only when nobody can have renewed it, whoever serves the worker", () => {
@@ -92,7 +93,7 @@
   const over = leaseOverMs(1000, lease);
   const gone = { grantUntilMs: 900, coveredMs: 500, blindMs: -Infinity };
   const alive = { grantUntilMs: 99_000, coveredMs: over, blindMs: -Infinity };
-  const cases: [string, Parameters<typeof silentFromMs>[1], number][] = [
+  const cases: [string, Parameters<typeof leaseOverEverywhereMs>[1], number][] = [
     ["only the leader serves", [], over],
     ["a server whose grant ended before the last answer", [gone], over],
     ["a server that has told all up to then", [alive], over],
@@ -117,45 +118,46 @@
       leaseOverMs(99_000, lease),
     ],
   ];
-  for (const [name, servers, want] of cases) assert.equal(silentFromMs(1000, servers, lease), want, name);
+  for (const [name, servers, want] of cases)
+    assert.equal(leaseOverEverywhereMs(1000, servers, lease), want, name);
 });
 
 /** What a controller asks for its first grant with. */
-const ask: Serving = {
-  kind: "serving",
+const ask: ReportServerUpdate = {
+  kind: "report server update",
   from: "n1",
   term: 1,
   life: 5,
-  seq: 1,
-  echoMs: 0,
-  retoldMs: 0,
+  sequence: 1,
+  echoedStampMs: 0,
+  resyncedStampMs: 0,
   askMs: 70,
   machines: 3,
   lagMs: 0,
-  heard: [],
+  unchanged: [],
   reports: [],
-  told: [],
-  toldSeq: 0,
-  toldAll: true,
+  cancellations: [],
+  cancellationSeq: 0,
+  cancellationsComplete: true,
 };
 
 test("the leader's book of servers: gaps blind it, grants end no later than its own right to acknowledge", () => {
   const self = { node: "n0", machines: 1, lagMs: 0 };
-  const facts = (s: Servers): object => ({ ...[...s.facts("a", 0)][0] });
-  const s = new Servers(new Map([["n1", "b"]]), 9000);
-  s.heard(ask, 10_000);
-  assert.equal(s.grant(ask, self, 10_000, 10_500, true)?.forMs, 500, "no longer than the mandate");
+  const facts = (s: ReportServerRegistry): object => ({ ...[...s.facts("a", 0)][0] });
+  const s = new ReportServerRegistry(new Map([["n1", "b"]]), 9000);
+  s.received(ask, 10_000);
+  assert.equal(s.grant(ask, self, 10_000, 10_500, true)?.forMs, 500, "no longer than the lease");
   assert.equal(s.grant(ask, self, 10_600, 10_500, true), null, "none after it");
-  s.heard({ ...ask, seq: 2, echoMs: 10_000 }, 10_400);
+  s.received({ ...ask, sequence: 2, echoedStampMs: 10_000 }, 10_400);
   assert.deepEqual(pick(facts(s)), { coveredMs: 10_000, blindMs: -Infinity });
-  s.heard({ ...ask, seq: 4, echoMs: 10_300 }, 10_700);
+  s.received({ ...ask, sequence: 4, echoedStampMs: 10_300 }, 10_700);
   assert.deepEqual(pick(facts(s)), { coveredMs: 10_300, blindMs: 10_700 }, "a lost frame");
-  s.heard({ ...ask, life: 6, seq: 1 }, 10_900);
+  s.received({ ...ask, life: 6, sequence: 1 }, 10_900);
   assert.deepEqual(pick(facts(s)), { coveredMs: 10_300, blindMs: 10_900 }, "a new process");
 });
 
 test("a controller may keep its own zone for longer, and a lease there counts from that; an unheard one's from before", () => {
-  const s = new Servers(
+  const s = new ReportServerRegistry(
     new Map([
       ["n1", "b"],
       ["n2", "b"],
@@ -163,8 +165,11 @@
     ]),
     9000,
   );
-  s.heard(ask, 10_000);
-  assert.equal(s.grant(ask, { node: "n0", machines: 1, lagMs: 0 }, 10_000, 12_000, true, 9000)?.homeMs, 9000);
+  s.received(ask, 10_000);
+  assert.equal(
+    s.grant(ask, { node: "n0", machines: 1, lagMs: 0 }, 10_000, 12_000, true, 9000)?.zoneForMs,
+    9000,
+  );
   const until = (zone: string): number[] => [...s.facts(zone, 7000)].map((f) => Math.round(f.grantUntilMs));
   const short = 10_000 + 2000 * 1.001 + 10;
   const cases: [string, number[]][] = [
@@ -181,11 +186,15 @@
 });
 
 test("what was lost is asked for until it is told again, also of who stood still when it was asked", () => {
-  const s = new Servers(new Map([["n1", "a"]]), 0);
+  const s = new ReportServerRegistry(new Map([["n1", "a"]]), 0);
   const self = { node: "n0", machines: 1, lagMs: 0 };
-  const frame = (seq: number, retoldMs: number): Serving => ({ ...ask, seq, retoldMs });
+  const frame = (seq: number, retoldMs: number): ReportServerUpdate => ({
+    ...ask,
+    sequence: seq,
+    resyncedStampMs: retoldMs,
+  });
   const asked = (seq: number, retoldMs: number, nowMs: number): boolean | undefined => {
-    s.heard(frame(seq, retoldMs), nowMs);
+    s.received(frame(seq, retoldMs), nowMs);
     return s.grant(frame(seq, retoldMs), self, nowMs, nowMs + 4000, true)?.resync;
   };
   assert.deepEqual(
@@ -207,26 +216,29 @@
     assert.ok(ms >= want && ms <= want + 100, `${cancelS} s, ${leaseS} s: ${ms}`);
     // The worker's clock and ours may both be slow, and half a second is left for what is late.
     assert.ok((ms * (1 + DRIFT)) / 1000 + leaseS * (1 + DRIFT) + 0.5 < cancelS * (1 - DRIFT));
-    assert.equal(homeGrantMs(cancelS, leaseS), want < 3000 ? 0 : Math.floor(ackLimitMs(0, cancelS, leaseS)));
+    assert.equal(
+      longestZoneLeaseMs(cancelS, leaseS),
+      want < 3000 ? 0 : Math.floor(ackLimitMs(0, cancelS, leaseS)),
+    );
   }
 });
 
 test("what users were told is cancelled: read, or named by who told it; a process that is over can only be read after", () => {
-  const s = new Servers(
+  const s = new ReportServerRegistry(
     new Map([
       ["n1", "a"],
       ["n2", "a"],
     ]),
     0,
   );
-  const frame = (from: string, life: number, echoMs: number, toldAll = true): Serving => ({
+  const frame = (from: string, life: number, echoMs: number, toldAll = true): ReportServerUpdate => ({
     ...ask,
     from,
     life,
-    echoMs,
-    toldAll,
+    echoedStampMs: echoMs,
+    cancellationsComplete: toldAll,
   });
-  const steps: [string, Serving | null, number, number, number][] = [
+  const steps: [string, ReportServerUpdate | null, number, number, number][] = [
     // name, frame that comes in at this moment, up to when we have read, known up to
     ["nobody heard: what we read", null, 10_000, 9900, 9900],
     ["one heard", frame("n1", 5, 9950), 10_100, 10_100, 10_100],
@@ -245,42 +257,49 @@
       11_550,
     ],
   ];
-  for (const [name, f, nowMs, readMs, want] of steps) {
-    if (f) {
-      s.heard(f, nowMs);
-      s.toldOf(f, nowMs);
+  for (const [name, update, nowMs, readMs, want] of steps) {
+    if (update) {
+      s.received(update, nowMs);
+      s.learnCancellations(update, nowMs);
     }
     assert.equal(s.cancelsKnownToMs(readMs), want, name);
   }
 });
 
 test("cancellations that were told are named until the leader has them, to each leader anew, and not without end", () => {
-  const t = new ToldCancels(60_000);
+  const t = new ConfirmedCancellations(60_000);
   const at = new Date(5);
   assert.deepEqual(
     [t.add("job-1", at, 0), t.add("job-2", at, 10), t.add("job-1", at, 20)],
     [true, true, false],
   );
-  const names = (nowMs: number): string[] => t.part(nowMs).told.map((x) => x.id);
-  assert.deepEqual([names(30), t.part(30).toldSeq, t.part(30).toldAll], [["job-1", "job-2"], 2, true]);
-  t.taken(1);
-  assert.deepEqual([names(40), t.part(40).toldSeq], [["job-2"], 2]);
-  t.taken(2);
-  assert.deepEqual([names(50), t.part(50).toldSeq], [[], 2]);
-  t.begin();
+  const names = (nowMs: number): string[] => t.nextUpdate(nowMs).cancellations.map((x) => x.id);
+  assert.deepEqual(
+    [names(30), t.nextUpdate(30).cancellationSeq, t.nextUpdate(30).cancellationsComplete],
+    [["job-1", "job-2"], 2, true],
+  );
+  t.acknowledgedUpTo(1);
+  assert.deepEqual([names(40), t.nextUpdate(40).cancellationSeq], [["job-2"], 2]);
+  t.acknowledgedUpTo(2);
+  assert.deepEqual([names(50), t.nextUpdate(50).cancellationSeq], [[], 2]);
+  t.beginTerm();
   assert.deepEqual(names(60), ["job-1", "job-2"], "the next leader");
-  t.forget(60_005);
+  t.expire(60_005);
   assert.deepEqual(names(60_005), ["job-2"], "whoever has not heard of it by then has let its leases end");
   for (let i = 10; i < 5000; i++) t.add(`job-${i}`, at, 61_000);
-  assert.equal(t.part(61_000).toldAll, false, "more than a frame holds");
-  t.taken(t.part(61_000).toldSeq + 10_000);
-  assert.deepEqual([t.part(61_000).told, t.part(61_000).toldAll], [[], false], "some were dropped unsaid");
-  t.forget(200_000);
-  assert.equal(t.part(200_000).toldAll, true);
+  assert.equal(t.nextUpdate(61_000).cancellationsComplete, false, "more than a frame holds");
+  t.acknowledgedUpTo(t.nextUpdate(61_000).cancellationSeq + 10_000);
+  assert.deepEqual(
+    [t.nextUpdate(61_000).cancellations, t.nextUpdate(61_000).cancellationsComplete],
+    [[], false],
+    "some were dropped unsaid",
+  );
+  t.expire(200_000);
+  assert.equal(t.nextUpdate(200_000).cancellationsComplete, true);
 });
 
 test("a machine with a cancelled task that stays is left to its lease in time, others go on; a zone counts it", () => {
-  const bound = new AckBound({ cancelS: 37, leaseS: 12, clockErrorMs: 25 });
+  const bound = new AcknowledgementLimits({ cancelS: 37, leaseS: 12, clockErrorMs: 25 });
   assert.equal(bound.untilMs, -Infinity, "nothing read yet, nothing acknowledged");
   const machine = (name: string, zone: string): Machine => new Machine(name, null, zone, false, 1, 0);
   const [m1, m2] = [machine("m1", "a"), machine("m2", "b")];
@@ -299,9 +318,9 @@
     ["long ago", [job(ago(100), m2), job(ago(3), m1)], ["m2"], [120_910, 123_960]],
     ["its tasks are gone", [job(ago(100))], [], [123_960, 123_960]],
   ];
-  for (const [name, jobs, barred, zones] of cases) {
+  for (const [name, jobs, quarantined, zones] of cases) {
     bound.update(100_000, jobs, 100_000, today);
-    assert.deepEqual(bound.barred, barred, name);
+    assert.deepEqual(bound.quarantined, quarantined, name);
     ["a", "b"].forEach((z, i) => assert.ok(Math.abs(bound.zoneUntilMs(z) - zones[i]!) < 10, `${name}: ${z}`));
   }
 });
@@ -312,7 +331,7 @@
 }
 
 test("workers are spread: new ones early, known ones when others were away, anybody when we fall behind", () => {
-  const home = (
+  const server = (
     node: string,
     machines: number,
     lagMs = 0,
@@ -321,42 +340,46 @@
     machines,
     lagMs,
   });
-  const even = [home("n0", 40), home("n1", 80), home("n2", 80)];
-  const survivor = [home("n0", 0), home("n1", 200), home("n2", 0)];
-  const cases: [string, Partial<Parameters<typeof whereTo>[0]>, string | null][] = [
-    ["even", { homes: even }, null],
-    ["a new one at a full node", { homes: [home("n0", 40), home("n1", 95), home("n2", 65)] }, "n2"],
+  const even = [server("n0", 40), server("n1", 80), server("n2", 80)];
+  const survivor = [server("n0", 0), server("n1", 200), server("n2", 0)];
+  const cases: [string, Partial<Parameters<typeof chooseServer>[0]>, string | null][] = [
+    ["even", { servers: even }, null],
+    ["a new one at a full node", { servers: [server("n0", 40), server("n1", 95), server("n2", 65)] }, "n2"],
     [
       "a known one stays there",
-      { homes: [home("n0", 40), home("n1", 95), home("n2", 65)], isKnown: true },
+      { servers: [server("n0", 40), server("n1", 95), server("n2", 65)], isKnown: true },
       null,
     ],
-    ["a known one leaves the only survivor", { homes: survivor, isKnown: true }, "n0"],
-    ["the leader takes half of a share", { homes: [home("n0", 30), home("n1", 95), home("n2", 72)] }, "n0"],
+    ["a known one leaves the only survivor", { servers: survivor, isKnown: true }, "n0"],
+    [
+      "the leader takes half of a share",
+      { servers: [server("n0", 30), server("n1", 95), server("n2", 72)] },
+      "n0",
+    ],
     [
       "not to one that is behind itself",
-      { homes: [home("n0", 9, 900), home("n1", 200), home("n2", 150)] },
+      { servers: [server("n0", 9, 900), server("n1", 200), server("n2", 150)] },
       null,
     ],
-    ["we are behind, the others are not", { homes: even, isKnown: true, lagMs: 2000 }, "n0"],
+    ["we are behind, the others are not", { servers: even, isKnown: true, lagMs: 2000 }, "n0"],
     [
       "all are behind alike",
-      { homes: even.map((h) => ({ ...h, lagMs: 350 })), isKnown: true, lagMs: 600 },
+      { servers: even.map((h) => ({ ...h, lagMs: 350 })), isKnown: true, lagMs: 600 },
       null,
     ],
     [
       "a new leader takes hardly any",
-      { homes: [home("n0", 12), home("n1", 115), home("n2", 73)], leaderShare: 0.1 },
+      { servers: [server("n0", 12), server("n1", 115), server("n2", 73)], leaderShare: 0.1 },
       "n2",
     ],
-    ["its own zone has a controller", { homes: even, isKnown: true, zone: "b" }, "n2"],
+    ["its own zone has a controller", { servers: even, isKnown: true, zone: "b" }, "n2"],
     [
       "its own zone's only controller is behind",
-      { homes: [even[0]!, even[1]!, home("n2", 80, 900)], zone: "b" },
+      { servers: [even[0]!, even[1]!, server("n2", 80, 900)], zone: "b" },
       null,
     ],
-    ["a zone without controllers", { homes: even, zone: "c" }, null],
-    ["nobody else has a grant", { homes: [home("n1", 200)] }, null],
+    ["a zone without controllers", { servers: even, zone: "c" }, null],
+    ["nobody else has a grant", { servers: [server("n1", 200)] }, null],
   ];
   for (const [name, change, want] of cases) {
     const zoneOf = (node: string): string => (name.includes("own zone") && node === "n2" ? "b" : "a");
@@ -368,9 +391,9 @@
       leaderShare: 0.5,
       lagMs: 0,
       isKnown: false,
-      homes: even,
+      servers: even,
       ...change,
     };
-    assert.equal(whereTo(facts), want, name);
+    assert.equal(chooseServer(facts), want, name);
   }
 });
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -14,13 +14,15 @@
   private revision = 100;
 
   /** Keys whose guard fails; carried out when there are none. */
-  commit(t: Transaction): string[] {
-    const failed = t.guards.filter((g) => (this.versions.get(g.key) ?? 0) !== g.version).map((g) => g.key);
+  commit(transaction: Transaction): string[] {
+    const failed = transaction.guards
+      .filter((g) => (this.versions.get(g.key) ?? 0) !== g.version)
+      .map((g) => g.key);
     if (failed.length > 0) return failed;
     this.revision++;
-    for (const c of t.changes) {
-      if ("put" in c) this.versions.set(c.put, this.revision);
-      else this.versions.delete(c.drop);
+    for (const change of transaction.changes) {
+      if ("put" in change) this.versions.set(change.put, this.revision);
+      else this.versions.delete(change.drop);
     }
     return [];
   }
@@ -55,9 +57,9 @@
 
 /** What the leader takes over from an answer that says it was carried out. */
 function applied(store: Store, job: Job): void {
-  for (const c of job.chunks.values()) {
-    c.version = store.versions.get(keys.chunk(job.id, c.index)) ?? 0;
-    c.dirty = c.urgent = false;
+  for (const chunk of job.chunks.values()) {
+    chunk.version = store.versions.get(keys.chunk(job.id, chunk.index)) ?? 0;
+    chunk.dirty = chunk.urgent = false;
   }
 }
 
@@ -121,10 +123,10 @@
   for (const [name, meanwhile, failed] of cases) {
     const store = new Store();
     const job = jobIn(store);
-    const a = plan(job, 0, 7);
+    const attempt = plan(job, 0, 7);
     assert.deepEqual(store.commit(compose(job)), []);
     applied(store, job);
-    job.detach(a);
+    job.detach(attempt);
     job.markDone(0);
     job.markDone(1);
     const last = compose(job);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { play, type Day } from "./standins/day.js";
-import { playDrawn, tell } from "./standins/drawnDay.js";
+import { play, type Day } from "./fakes/day.js";
+import { playDrawn, tell } from "./fakes/drawnDay.js";
 import {
   alone,
   cancelRunning,
@@ -21,63 +21,69 @@
   mute,
   oddRequests,
   type Trouble,
-} from "./standins/troubles.js";
-import { World } from "./standins/world.js";
+} from "./fakes/troubles.js";
+import { World } from "./fakes/world.js";
 
 /** The same trouble again and again, from then on. */
 const often = (fromS: number, everyS: number, times: number, trouble: Trouble): [number, Trouble][] =>
   Array.from({ length: times }, (_, i) => [fromS + i * everyS, trouble]);
 
-const someHosts = (w: World, count: number): ((host: string) => boolean) => {
-  const hosts = new Set([...w.workers.values()].slice(0, Math.ceil(count)).map((x) => x.tuft.address));
+const someHosts = (world: World, count: number): ((host: string) => boolean) => {
+  const hosts = new Set([...world.workers.values()].slice(0, Math.ceil(count)).map((x) => x.tuft.address));
   return (h) => hosts.has(h);
 };
 
 /** That share of the machines can't be reached, nor reach anybody; packets are held. */
 const lose =
   (share: number, forMs: number): Trouble =>
-  (w) =>
-    w.net.cut(someHosts(w, w.workers.size * share), () => true, forMs);
+  (world) =>
+    world.net.cut(someHosts(world, world.workers.size * share), () => true, forMs);
 
 /** What machines say is held, what they are told is not. */
 const holdReports =
   (count: number, forMs: number): Trouble =>
-  (w) =>
-    w.net.cut(someHosts(w, count), () => true, forMs, true);
+  (world) =>
+    world.net.cut(someHosts(world, count), () => true, forMs, true);
 
 /** Tasks of a job end one after the other, far apart. */
-const farApart: Trouble = (w) => {
+const farApart: Trouble = (world) => {
   for (let i = 0; i < 8; i++) {
     const crew = i % 2 ? "one" : "two";
-    const job = w.submit({ ref: `job-70000${i}`, crew, spores: 2 + (i % 2), cores: 1, memoryGb: 2 }, 3 + i);
+    const job = world.submit(
+      { ref: `job-70000${i}`, crew, spores: 2 + (i % 2), cores: 1, memoryGb: 2 },
+      3 + i,
+    );
     job.stepS = 9;
   }
 };
 
 /** Bound to a zone, by name or together. */
-const bound: Trouble = (w) => {
+const bound: Trouble = (world) => {
   for (let i = 0; i < 8; i++) {
     const where = i % 2 ? { patch: i % 4 === 1 ? "a" : "b" } : { together: true };
     const crew = i % 3 ? "one" : "two";
-    w.submit({ ref: `job-71000${i}`, crew, spores: 3, cores: 2, ...where }, 12 + 3 * i);
+    world.submit({ ref: `job-71000${i}`, crew, spores: 3, cores: 2, ...where }, 12 + 3 * i);
     const gang = { form: "ensemble", spores: 2, cores: 2, rank: "high", cairnS: 2 };
-    w.submit({ ref: `job-72000${i}`, crew, ...gang, ...where }, 10 + 2 * i);
+    world.submit({ ref: `job-72000${i}`, crew, ...gang, ...where }, 10 + 2 * i);
   }
 };
 
 /** Work of both teams up to their limits, and far more than the machines hold. */
-const tooMuch: Trouble = (w) => {
+const tooMuch: Trouble = (world) => {
   for (let i = 0; i < 24; i++) {
     const crew = i % 2 ? "one" : "two";
     const rank = ["best_effort", "standard", "high", "prod"][i % 4]!;
-    w.submit({ ref: `job-73${String(i).padStart(4, "0")}`, crew, rank, spores: 6, cores: 2 }, 4 + (i % 5));
+    world.submit(
+      { ref: `job-73${String(i).padStart(4, "0")}`, crew, rank, spores: 6, cores: 2 },
+      4 + (i % 5),
+    );
   }
 };
 
 const takeSome =
   (from: number, to: number): Trouble =>
-  (w) =>
-    [...w.workers.keys()].slice(from, to).forEach((n) => w.cloud.take(n));
+  (world) =>
+    [...world.workers.keys()].slice(from, to).forEach((n) => world.cloud.take(n));
 
 /**
  * Most rules that were seen broken broke when two troubles met: each row brings one such meeting about. On the sources
@@ -99,7 +105,7 @@
     ],
   },
   {
-    name: "who confirmed them is cut off from the leader before it can say so, others vouch",
+    name: "who confirmed them is cut off from the leader before it can say so, others confirm an extension",
     grown: true,
     long: 8,
     at: [
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -1,27 +1,27 @@
 import assert from "node:assert/strict";
 import * as net from "node:net";
 import test from "node:test";
-import { isLateCopy, saysTheSame } from "../src/coordination/reportServer.js";
+import { isLateCopy, isUnchanged } from "../src/coordination/reports/reportServer.js";
 import type { Report } from "../src/protocol/model.js";
 import { encodePeer, PEER_VERSION, type PeerMessage } from "../src/protocol/peers.js";
 import { systemClock } from "../src/transport/clock.js";
 import { frame, PeerLinks } from "../src/transport/peerLink.js";
-import { World } from "./standins/world.js";
+import { World } from "./fakes/world.js";
 
 test("a link whose frames are not in order is closed, with the reason, and changes nothing", async () => {
-  const w = new World(31, { size: 5 });
-  await w.run(5);
-  const follower = w.names.find((n) => n !== w.leader)!;
-  const other = w.names.find((n) => n !== w.leader && n !== follower)!;
+  const world = new World(31, { size: 5 });
+  await world.run(5);
+  const follower = world.names.find((n) => n !== world.leader)!;
+  const other = world.names.find((n) => n !== world.leader && n !== follower)!;
   const hello = (from: string, version = PEER_VERSION): PeerMessage => ({ kind: "hello", from, version });
   // Were it taken, the follower would take its sender for the leader of a term far ahead.
-  const usurp: PeerMessage = { kind: "confirm?", from: other, term: 900 };
+  const usurp: PeerMessage = { kind: "term announcement", from: other, term: 900 };
   const cases: [string, Buffer[], RegExp][] = [
     ["rubbish", [Buffer.from("GET / HTTP/1.1")], /not a frame/],
     ["no greeting", [encodePeer(usurp)], /no greeting/],
     ["another version", [encodePeer(hello(other, PEER_VERSION + 1)), encodePeer(usurp)], /speaks version/],
     ["nobody we know", [encodePeer(hello("mallory"))], /no peer/],
-    ["in another's name", [encodePeer(hello(w.leader!)), encodePeer(usurp)], /speaks for/],
+    ["in another's name", [encodePeer(hello(world.leader!)), encodePeer(usurp)], /speaks for/],
     ["cut short", [encodePeer(hello(other)), encodePeer(usurp).subarray(0, 8)], /not a frame/],
     [
       "more behind it",
@@ -30,15 +30,15 @@
     ],
   ];
   for (const [name, frames, want] of cases) {
-    const take = w.link(follower);
+    const take = world.link(follower);
     let reason: string | null = null;
     for (const f of frames) reason ??= take(f);
     assert.match(reason ?? "taken", want, name);
   }
-  const before = w.leader;
-  await w.run(10);
-  assert.equal(w.leader, before, "the same leader in the same term");
-  const term = w.state.keys.get("lead/term")?.data as { n: number };
+  const before = world.leader;
+  await world.run(10);
+  assert.equal(world.leader, before, "the same leader in the same term");
+  const term = world.state.keys.get("lead/term")?.data as { n: number };
   assert.equal(term.n, 1);
 });
 
@@ -115,26 +115,29 @@
     ["another attempt", { tasks: [{ ...report.tasks[0]!, attempt: 2 }] }, false],
   ];
   for (const [name, change, want] of same)
-    assert.equal(saysTheSame(report, { ...report, ...change }), want, name);
+    assert.equal(isUnchanged(report, { ...report, ...change }), want, name);
 });
 
 /** Lost on the way to the leader, a worker's last word came again as one that the leader took for old, for ever. */
 test("what is lost between two controllers is told again, and every job comes to its end", async () => {
-  const w = new World(35, { size: 5, capacity: 6 });
-  await w.run(3);
-  w.submit({ ref: "job-000000", form: "standing", rank: "prod", spores: 4, cores: 1, windfall: false }, null);
-  await w.run(15);
+  const world = new World(35, { size: 5, capacity: 6 });
+  await world.run(3);
+  world.submit(
+    { ref: "job-000000", form: "standing", rank: "prod", spores: 4, cores: 1, windfall: false },
+    null,
+  );
+  await world.run(15);
   const late = [];
   for (let i = 0; i < 10; i++) {
     const ref = `job-0001${String(i).padStart(2, "0")}`;
-    const job = w.submit({ ref, crew: i % 2 ? "one" : "two", spores: 3, cores: 1, memoryGb: 1 }, 2);
+    const job = world.submit({ ref, crew: i % 2 ? "one" : "two", spores: 3, cores: 1, memoryGb: 1 }, 2);
     // Its end falls into a moment without links, shorter than a grant; nothing new comes to its machines after that.
-    while (job.beganMs === null) await w.run(0.1);
-    await w.run(1.7);
-    w.noLinksUntilMs = w.clock.nowMs() + 1700;
-    await w.run(14);
+    while (job.beganMs === null) await world.run(0.1);
+    await world.run(1.7);
+    world.noLinksUntilMs = world.clock.nowMs() + 1700;
+    await world.run(14);
     if (job.told !== "done") late.push(ref);
   }
   assert.deepEqual(late, []);
-  assert.deepEqual(w.broken, []);
+  assert.deepEqual(world.broken, []);
 });
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { neverRuns } from "../src/coordination/admission.js";
+import { neverRuns } from "../src/coordination/admission/admission.js";
 import { decodePeer, encodePeer, type PeerMessage } from "../src/protocol/peers.js";
 import type { Report } from "../src/protocol/model.js";
 import { decodeSubmission, encodeSubmission, route } from "../src/protocol/users.js";
@@ -150,28 +150,28 @@
 
 test("peers: every message survives the wire, cut anywhere; rubbish doesn't pass", () => {
   const messages: PeerMessage[] = [
-    { kind: "vouch?", from: "n1", term: 7, ask: 2 ** 40 },
-    { kind: "vouch", from: "n2", term: 7, ask: 1, yes: true },
-    { kind: "confirm?", from: "n1", term: 8 },
-    { kind: "confirm", from: "n1", term: 8 },
-    { kind: "tally", from: "n1", term: 8, jobs: [{ id: "job-1", done: 3, running: 2 }] },
+    { kind: "extension request", from: "n1", term: 7, ask: 2 ** 40 },
+    { kind: "extension vote", from: "n2", term: 7, ask: 1, yes: true },
+    { kind: "term announcement", from: "n1", term: 8 },
+    { kind: "term acknowledgement", from: "n1", term: 8 },
+    { kind: "task counts", from: "n1", term: 8, jobs: [{ id: "job-1", done: 3, running: 2 }] },
     { kind: "hello", from: "n3", version: 2 },
     {
-      kind: "serving",
+      kind: "report server update",
       from: "n2",
       term: 8,
       life: 2 ** 40,
-      seq: 3,
-      echoMs: 90_000,
-      retoldMs: 11,
+      sequence: 3,
+      echoedStampMs: 90_000,
+      resyncedStampMs: 11,
       askMs: 4000,
       machines: 70,
       lagMs: 12,
-      heard: [{ machine: "host-1", session: 1, tick: 9 }],
+      unchanged: [{ machine: "host-1", session: 1, tick: 9 }],
       reports: [{ ageMs: 7, report: seen }],
-      told: [{ id: "job-7", at: new Date(1_700_000_000_123) }],
-      toldSeq: 4,
-      toldAll: true,
+      cancellations: [{ id: "job-7", at: new Date(1_700_000_000_123) }],
+      cancellationSeq: 4,
+      cancellationsComplete: true,
     },
     {
       kind: "grant",
@@ -179,20 +179,20 @@
       term: 8,
       life: 2 ** 40,
       askMs: 4000,
-      homeMs: 22_500,
+      zoneForMs: 22_500,
       forMs: 2000,
       stampMs: 90_400,
-      served: true,
+      stateServed: true,
       resync: false,
-      toldSeq: 4,
-      barred: ["host-3"],
-      homes: [{ node: "n2", machines: 70, lagMs: 12 }],
+      cancellationSeq: 4,
+      quarantined: ["host-3"],
+      servers: [{ node: "n2", machines: 70, lagMs: 12 }],
     },
     {
-      kind: "errands",
+      kind: "deliveries",
       from: "n1",
       term: 8,
-      errands: [
+      deliveries: [
         {
           machine: "host-1",
           address: "10.1.0.1:9000",
@@ -207,7 +207,7 @@
       ],
     },
     {
-      kind: "errands back",
+      kind: "delivery results",
       from: "n2",
       term: 8,
       results: [
@@ -226,11 +226,15 @@
     assert.deepEqual(got, messages, `in pieces of ${step}`);
   }
   assert.equal(new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n")), null);
-  for (const m of messages) {
-    const whole = encodePeer(m);
+  for (const message of messages) {
+    const whole = encodePeer(message);
     for (let cut = 0; cut < whole.length; cut++)
-      assert.equal(decodePeer(whole.subarray(0, cut)), null, m.kind);
-    assert.equal(decodePeer(Buffer.concat([whole, Buffer.from([0])])), null, `${m.kind} with more behind it`);
+      assert.equal(decodePeer(whole.subarray(0, cut)), null, message.kind);
+    assert.equal(
+      decodePeer(Buffer.concat([whole, Buffer.from([0])])),
+      null,
+      `${message.kind} with more behind it`,
+    );
   }
   for (const bad of [Buffer.alloc(0), Buffer.from([99, 0, 0])]) assert.equal(decodePeer(bad), null);
 });
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { serveOrder, wishedS, type QueueEntry } from "../src/coordination/queue.js";
+import { serveOrder, targetsS, type QueueEntry } from "../src/coordination/scheduling/queue.js";
 import type { Job } from "../src/bookkeeping/jobs.js";
 
 let since = 0;
@@ -16,8 +16,8 @@
     late: false,
     allowed: Infinity,
     tasks: 10,
-    wide: work,
-    duesS,
+    width: work,
+    targetsLeftS: duesS,
     taskS: 1,
     work,
     since: since++,
@@ -41,8 +41,8 @@
       name: "what is late goes first, the oldest first, in its part of the room, and no further",
       entries: [
         entry("new", 10, [90]),
-        entry("old", 30, [], { late: true, wide: 2 }),
-        entry("older", 20, [], { late: true, wide: 2, since: -1 }),
+        entry("old", 30, [], { late: true, width: 2 }),
+        entry("older", 20, [], { late: true, width: 2, since: -1 }),
         entry("huge", 900, [], { late: true }),
         entry("last", 20, [95], { late: true }),
       ],
@@ -63,7 +63,7 @@
       entries: [entry("due", 1, [50]), entry("over", 900, [], { overdue: true })],
       want: "due over",
     },
-    { name: "without wishes, as they came", entries: [entry("a", 90, []), entry("b", 10, [])], want: "a b" },
+    { name: "without targets, as they came", entries: [entry("a", 90, []), entry("b", 10, [])], want: "a b" },
     {
       name: "when all fit, the nearest due first",
       entries: [entry("late", 100, [90]), entry("soon", 100, [30])],
@@ -76,7 +76,7 @@
       want: "a b huge",
     },
     {
-      name: "who stepped back is tried at its looser wish before what is past all wishes",
+      name: "who stepped back is tried at its looser target before what is past all targets",
       entries: [entry("over", 10, [-5, -1]), entry("huge", 400, [30, 100]), entry("a", 200, [30, 60])],
       want: "a huge over",
     },
@@ -86,7 +86,7 @@
       want: "a long",
     },
     {
-      name: "past all wishes, the smallest first",
+      name: "past all targets, the smallest first",
       entries: [entry("big", 50, [-9]), entry("small", 5, [-3])],
       want: "small big",
     },
@@ -102,7 +102,7 @@
   }
 });
 
-test("wishes come from the job's own deadline and its class's objectives", () => {
+test("targets come from the job's own deadline and its class's objectives", () => {
   const o = (kind: string, className: string | null, withinS: number | null, times = 1) => ({
     kind,
     className,
@@ -117,8 +117,8 @@
     o("wait", "b", 5),
     o("finished", "b", 300),
   ];
-  assert.deepEqual(wishedS("a", 40, objectives), [40, 60]);
-  assert.deepEqual(wishedS("a", null, objectives), []);
-  assert.deepEqual(wishedS("b", null, objectives), [200, 300]);
-  assert.deepEqual(wishedS("c", 10, objectives), [10]);
+  assert.deepEqual(targetsS("a", 40, objectives), [40, 60]);
+  assert.deepEqual(targetsS("a", null, objectives), []);
+  assert.deepEqual(targetsS("b", null, objectives), [200, 300]);
+  assert.deepEqual(targetsS("c", 10, objectives), [10]);
 });
