--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -71,6 +71,12 @@
 
   run(): PlacementPlan {
     for (const job of this.input.jobs) this.placeJob(job);
+    // What the shares of others leave is for whoever can use it.
+    for (const job of this.input.jobs) {
+      if (job.share >= Math.min(job.pending, job.limit)) continue;
+      job.share = Infinity;
+      this.placeJob(job);
+    }
     return this.plan;
   }
 
@@ -98,7 +104,7 @@
       const machine = this.byName.get(reservation.machine);
       if (machine?.held?.jobId === spec.id) this.releaseReserved(machine);
     }
-    const wanted = Math.min(job.pending, job.limit);
+    const wanted = Math.min(job.pending, job.limit, job.share);
     const allowed = quota.room(spec);
     if (spec.kind === "gang") {
       if (wanted < spec.tasks || quota.attainable(spec) < spec.tasks) return;
@@ -183,7 +189,7 @@
   private planStarts(job: JobView, chosen: Chosen[]): number {
     const { spec } = job;
     let tasks = 0;
-    for (const { machine: machine, tasks: n } of chosen) {
+    for (const { machine, tasks: n } of chosen) {
       this.plan.touched.add(machine);
       takeFrom(machine.free, spec, n);
       if (!machine.images.has(spec.image)) {
@@ -196,6 +202,9 @@
       this.plan.placements.push({ jobId: spec.id, machine: machine.name, tasks: n });
       tasks += n;
     }
+    job.pending -= tasks;
+    job.limit -= tasks;
+    job.share -= tasks;
     this.input.quota.take(spec, tasks);
     return tasks;
   }
--- a/src/coordination/scheduling/queue.ts
+++ b/src/coordination/scheduling/queue.ts
@@ -42,6 +42,11 @@
   overdue: boolean;
   /** Most of its class's loosest target is over, and it isn't done. */
   late: boolean;
+  /**
+   * Tasks that it may have running before its like have their part of the room; Infinity: it is not shared. Set by
+   * `serveOrder`.
+   */
+  fairShare: number;
   /** Tasks that it may have running: what is late keeps to its part of the room. Set by `serveOrder`. */
   allowed: number;
   /** Seconds from now at which it should be complete, the nearest target first; later targets are looser. */
@@ -72,7 +77,7 @@
 
 /**
  * The order in which jobs are served: priority, then guaranteed work, then as many jobs as can be in time.
- * `roomOf` is the room that each priority has for what it is offered.
+ * `roomOf` is the room that each priority has for what it is offered, `teamLimit` what a team may use of it at most.
  *
  * With less room than work, "least time left first" makes everybody a little late. So the jobs are taken by due
  * time, and whenever they don't fit, the largest of them steps back (Moore and Hodgson): it costs one job its
@@ -82,12 +87,15 @@
 /** Jobs that begin out of turn in one cycle, each with so many tasks. */
 const MAX_EARLY_JOBS = 8;
 export const EARLY_TASKS = 2;
+/** An array that would take all the room for longer than this shares it with its like. */
+const SHARED_FROM_S = 60;
 /** Of a priority's room, what is late may take so much before those who can still be in time. */
 const LATE_SHARE = 0.35;
 
 export function serveOrder(
   entries: QueueEntry[],
   roomOf: (priority: number, gpus: boolean) => number,
+  teamLimit: (team: string, gpus: boolean) => number,
 ): QueueEntry[] {
   const out: QueueEntry[] = [];
   const ranks = [...new Set(entries.map((e) => e.priority))].sort((a, b) => b - a);
@@ -110,14 +118,14 @@
       const room = Math.max(1, roomOf(rank, gpus));
       const first = lateFirst(like, room * LATE_SHARE);
       if (first.length === 0) {
-        out.push(...inRank(like, room));
+        out.push(...inRank(like, room, teamLimit));
         continue;
       }
       // Counted on twice, that part of the room would make everybody else a little late.
       let left = room;
       for (const e of first) left -= e.width;
       const rest = like.filter((e) => !first.includes(e));
-      out.push(...first, ...inRank(rest, Math.max(left, room * (1 - LATE_SHARE) * 0.8)));
+      out.push(...first, ...inRank(rest, Math.max(left, room * (1 - LATE_SHARE) * 0.8), teamLimit));
     }
   }
   return out;
@@ -145,7 +153,11 @@
 }
 
 /** `room` is shared by the guaranteed, who come first, and the others. */
-function inRank(entries: QueueEntry[], room: number): QueueEntry[] {
+function inRank(
+  entries: QueueEntry[],
+  room: number,
+  teamLimit: (team: string, gpus: boolean) => number,
+): QueueEntry[] {
   const out: QueueEntry[] = [];
   let busyS = 0;
   for (const guaranteed of [true, false]) {
@@ -158,11 +170,47 @@
       busyS = endS;
     }
     left.sort((a, b) => bySize(a, b));
+    shareRoom(left, room - out.reduce((sum, e) => sum + e.width, 0), teamLimit);
     out.push(...left);
   }
   return out;
 }
 
+/**
+ * Without targets nothing says which of a team's large arrays should be over first: each gets its part of the room before
+ * any gets more, so that none waits until all that came before it is over. Small ones go in order of arrival: divided,
+ * all of them would end late.
+ */
+function shareRoom(
+  entries: QueueEntry[],
+  room: number,
+  teamLimit: (team: string, gpus: boolean) => number,
+): void {
+  const byTeam = new Map<string, QueueEntry[]>();
+  for (const entry of entries) {
+    const { team, kind } = entry.job.spec;
+    if (kind !== "array" || entry.targetsLeftS.length > 0) continue;
+    const list = byTeam.get(team);
+    if (list) list.push(entry);
+    else byTeam.set(team, [entry]);
+  }
+  for (const [team, list] of byTeam) {
+    const part = Math.min(Math.max(0, room) / byTeam.size, teamLimit(team, list[0]!.gpus));
+    const large = list.filter((entry) => wholeWork(entry) > part * SHARED_FROM_S);
+    if (large.length < 2) continue;
+    for (const entry of large) {
+      const tasks = Math.floor((part / large.length / entry.width) * entry.tasks);
+      entry.fairShare = Math.max(EARLY_TASKS, tasks);
+    }
+  }
+}
+
+/** What all of its tasks take, done or not, in cpu seconds: what is large stays so until it is over. */
+function wholeWork(entry: QueueEntry): number {
+  const { spec } = entry.job;
+  return (spec.gpus || spec.cpus) * spec.tasks * entry.taskS;
+}
+
 function bySize(entry: QueueEntry, b: QueueEntry): number {
   // Without targets there is nothing to be in time for: first come, first served.
   if (entry.targetsLeftS.length === 0 && b.targetsLeftS.length === 0)
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -85,7 +85,10 @@
 
   private place(entries: QueueEntry[], guaranteed: Set<Job>, now: number): void {
     const { leaderTerm, estimates } = this;
-    const inOrder = serveOrder(entries, this.capacities());
+    const inOrder = serveOrder(entries, this.capacities(), (name, gpus) => {
+      const team = leaderTerm.usage.teams.get(name);
+      return (gpus ? team?.gpusMax : team?.cpusMax) ?? 0;
+    });
     const machines: MachineView[] = [];
     const coming: MachineView[] = [];
     for (const machine of leaderTerm.machines.values()) {
@@ -183,6 +186,7 @@
       aged,
       overdue: aged && spec.kind === "array" && waitedS > OVERDUE_S,
       late: waitedS > LATE_FRACTION * this.longestTargetS(spec.className),
+      fairShare: Infinity,
       allowed: Infinity,
       tasks: job.pending + job.attempts.size,
       width: (spec.gpus || spec.cpus) * (job.pending + job.attempts.size),
@@ -259,6 +263,7 @@
       spec: entry.job.spec,
       pending: entry.job.pending,
       limit: this.limit(entry),
+      share: Math.max(0, entry.fairShare - entry.job.attempts.size),
       taskS: entry.job.spec.kind === "service" ? Infinity : entry.taskS,
       aged: entry.aged,
       guaranteed: entry.guaranteed,
--- a/src/coordination/scheduling/views.ts
+++ b/src/coordination/scheduling/views.ts
@@ -81,6 +81,8 @@
   pending: number;
   /** Tasks to place now at the most: a large job that has waited long begins with a few. */
   limit: number;
+  /** Of these, tasks to place before others of its kind have their share of the room. */
+  share: number;
   guaranteed: boolean;
   /** Tasks that may be somewhere, by zone. */
   zones: Map<string, number>;
--- a/test/fair.test.ts
+++ b/test/fair.test.ts
@@ -40,6 +40,24 @@
   assert.equal(big.told, "done");
 });
 
+/** In order of arrival, the first of a guest's large arrays took all the free room until it was over. */
+test("a team's arrays without targets share the room, and what one leaves is for the others", async () => {
+  const w = new World(26, { size: 3, capacity: 8 });
+  await w.run(3);
+  const array = { crew: "two", rank: "best_effort", cores: 1, memoryGb: 1 };
+  const large = [0, 1, 2].map((i) => w.submit({ ref: `job-00000${i}`, ...array, spores: 150 }, 12));
+  const small = w.submit({ ref: "job-000009", ...array, spores: 2 }, 12);
+  await w.run(60);
+  const running = large.map((j) => w.live(j.spec.ref).length);
+  assert.ok(Math.min(...running) >= 5, `running: ${running.join(", ")} of 24`);
+  assert.equal(small.told, "done");
+  for (const j of large.slice(1)) w.cancel(j);
+  await w.run(25);
+  const left = w.live("job-000000").length;
+  assert.ok(left >= 20, `${left} of 24 run once the others are gone`);
+  assert.deepEqual(w.broken, []);
+});
+
 /**
  * At the team's limit, small tasks took what came free piece by piece, so a task of five times their size waited until they
  * had all gone (docs/incidents/inc-809f.md).
@@ -203,6 +221,7 @@
     spec,
     pending: spec.tasks,
     limit: Infinity,
+    share: Infinity,
     guaranteed: false,
     zones: new Map(),
     avoid: new Set(),
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -6,7 +6,7 @@
 let since = 0;
 function entry(id: string, work: number, duesS: number[], extra: Partial<QueueEntry> = {}): QueueEntry {
   return {
-    job: {} as Job,
+    job: { spec: { team: "t", kind: "array" } } as Job,
     id,
     priority: 1,
     guaranteed: false,
@@ -14,6 +14,7 @@
     aged: false,
     overdue: false,
     late: false,
+    fairShare: Infinity,
     allowed: Infinity,
     tasks: 10,
     width: work,
@@ -92,7 +93,11 @@
     },
   ];
   for (const c of cases) {
-    const got = serveOrder(c.entries, () => 10);
+    const got = serveOrder(
+      c.entries,
+      () => 10,
+      () => Infinity,
+    );
     assert.equal(got.map((e) => e.id).join(" "), c.want, c.name);
     for (const e of got)
       if (e.id.startsWith("be")) assert.equal(e.allowed, 2, "no more than two tasks out of turn");
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,5 +1,10 @@
 import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import test from "node:test";
+import { fileURLToPath } from "node:url";
 import { operatorDefaults, readOperator } from "../src/settings/operator.js";
 import { readPlatform } from "../src/settings/platform.js";
 
@@ -77,6 +82,50 @@
   }
 });
 
+test("settings of a later platform are read: unknown fields, classes, kinds of objective and teams with zeros", () => {
+  const later = good
+    .replace(
+      "[cluster.workers]",
+      '[[cluster.objectives]]\nkind = "mood"\nclass = "nobody"\n[cluster.workers]',
+    )
+    .replace("[endpoints]", '[endpoints]\nledger = "10.0.0.9:1"')
+    .replace('node_name = "n0"', 'node_name = "n0"\nhue = "green"');
+  assert.equal(readPlatform(later).objectives.at(-1)?.kind, "mood");
+});
+
+test("wrong settings end the program at start: one line with field, value and what is expected, exit code 2", () => {
+  const folder = mkdtempSync(join(tmpdir(), "lichenturn-settings-"));
+  const main = fileURLToPath(new URL("../src/main.js", import.meta.url));
+  const cases: [string, string, RegExp][] = [
+    [
+      "lease_s = 14.0",
+      "lease_s = -1.0",
+      /^lichenturn: cluster\.workers\.lease_s = -1: must be a number from 0\.1 to \d+\n$/,
+    ],
+    ['node_name = "n0"', "", /^lichenturn: node_name: missing, must be a non-empty string\n$/],
+    ["size = 3", "size = ", /^lichenturn: not TOML: [^\n]+\n$/],
+  ];
+  try {
+    for (const [from, to, want] of cases) {
+      const file = join(folder, "settings.toml");
+      writeFileSync(file, good.replace(from, to));
+      const run = spawnSync(process.execPath, [main, "serve", "--config", file], {
+        encoding: "utf8",
+        timeout: 20_000,
+      });
+      assert.equal(run.status, 2, from);
+      assert.match(run.stderr, want);
+    }
+    const missing = spawnSync(process.execPath, [main, "serve", "--config", join(folder, "none.toml")], {
+      encoding: "utf8",
+    });
+    assert.equal(missing.status, 2);
+    assert.match(missing.stderr, /none\.toml: ENOENT[^\n]+\n$/);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+});
+
 test("operators' settings: defaults, values, mistakes", async () => {
   assert.deepEqual(await readOperator("<lichenturn/>"), operatorDefaults);
   const set = await readOperator(
