Rows for silent leaders, floods, late boots and mistakes; the test world in smaller parts

The checks of the calm time are a module of their own (CalmWatch), word for word; region settings another. On a scratch copy a supervisor that keeps machines that never come up fails both rows of late boots; a leader whose lease never ends in its own eyes, and a report server without a limit, pass the silent rows: tokens and guards stop them there.

--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -5,35 +5,13 @@
 import type { Platform } from "../../src/settings/platform.js";
 import type { HttpCaller, Reply } from "../../src/transport/httpClient.js";
 import { SimClock } from "./clock.js";
-import { SimCloud, type SimType } from "./cloud.js";
+import { CalmWatch } from "./calmWatch.js";
+import { SimCloud } from "./cloud.js";
 import { SimNet } from "./net.js";
+import { LIMITS, platformOf, TYPES, type Limits } from "./region.js";
 import { SimState } from "./state.js";
 import { SimWorker, type SimTask } from "./worker.js";
 
-export const TYPES: SimType[] = [
-  {
-    name: "small",
-    cores: 4,
-    gpus: 0,
-    memoryGb: 16,
-    price: 0.2,
-    lowPrice: 0.05,
-    bootS: 3,
-    patches: ["a", "b"],
-  },
-  {
-    name: "large",
-    cores: 16,
-    gpus: 0,
-    memoryGb: 64,
-    price: 0.9,
-    lowPrice: 0.2,
-    bootS: 5,
-    patches: ["a", "b"],
-  },
-  { name: "accel", cores: 8, gpus: 2, memoryGb: 64, price: 3, lowPrice: 1, bootS: 4, patches: ["a", "b"] },
-];
-
 interface SimNode {
   controller: Controller;
   alive: boolean;
@@ -62,9 +40,6 @@
   waitsSinceMs: number | null;
 }
 
-type Limits = Record<"one" | "two", { cpus: number; gpus: number }>;
-const LIMITS: Limits = { one: { cpus: 20, gpus: 4 }, two: { cpus: 24, gpus: 4 } };
-
 export interface WorldOptions {
   /** Controllers. */
   size?: number;
@@ -80,45 +55,6 @@
 const FORGOTTEN_MS = 75_000;
 /** After a trouble's end, this much is allowed until everything is as before. */
 const SETTLE_MS = 10_000;
-/** Three times the longest boot, half a minute, and time for the list and the deletion. */
-const NEVER_UP_MS = 60_000;
-
-export function platformOf(name: string, nodes: string[], limits = LIMITS, zones: string[] = []): Platform {
-  const zoneOf = (node: string): string => zones[nodes.indexOf(node)] ?? "a";
-  const team = (n: "one" | "two"): Platform["teams"][number] => ({
-    name: n,
-    cpus: 8,
-    cpusMax: limits[n].cpus,
-    gpus: 2,
-    gpusMax: limits[n].gpus,
-  });
-  return {
-    node: name,
-    zone: zoneOf(name),
-    listen: `${name}:80`,
-    peerListen: `${name}:81`,
-    peers: nodes.filter((n) => n !== name).map((n) => ({ name: n, zone: zoneOf(n), address: `${n}:81` })),
-    cloud: "cloud:1",
-    state: "state:1",
-    size: nodes.length,
-    zones: ["a", "b"],
-    clockErrorMs: 10,
-    teams: [team("one"), team("two")],
-    objectives: [],
-    reportS: 1,
-    leaseS: 8,
-    gangWaitS: 20,
-    gangPeerS: 4,
-    cancelS: 25,
-    stateRps: 300,
-    stateWriteRps: 60,
-    stateValueKb: 8,
-    stateTxnOps: 20,
-    cloudRps: 10,
-    listLagS: 3,
-    maxConnections: 500,
-  };
-}
 
 /** A link's frames come in their order, the greeting first. */
 function deliver(to: SimNode, life: string, from: string, frame: Buffer): void {
@@ -171,8 +107,6 @@
     this.calmFromMs = Math.max(this.calmFromMs, this.clock.nowMs() + forMs + SETTLE_MS);
   }
   private readonly unanswered = new Map<string, number>();
-  /** Machines that were paid for long past their boot, and said so once. */
-  private readonly lingering = new Set<string>();
 
   constructor(
     seed: number,
@@ -227,7 +161,7 @@
     );
     this.cloud.capacity = options.capacity ?? 12;
     for (const name of this.names) this.boot(name);
-    this.watchWaiting();
+    new CalmWatch(this, this.limits).start();
   }
 
   /** That worker's reports get no answer anywhere, though commands reach it. */
@@ -633,88 +567,6 @@
       if (job.spec.form === "standing" && job.accepted && !job.cancelAsked) this.cancel(job);
   }
 
-  /** Troubles over, no job waits for 90 s while machines that fit have room and its team is under its limit. */
-  private watchWaiting(): void {
-    this.clock.after(3000, () => this.watchWaiting());
-    const now = this.clock.nowMs();
-    if (now < this.calmFromMs) return;
-    this.watchBoots(now);
-    const free = new Map<SimWorker, { cores: number; gpus: number; memoryGb: number }>();
-    const used = { one: { cores: 0, gpus: 0 }, two: { cores: 0, gpus: 0 } };
-    for (const worker of this.workers.values()) {
-      const type = TYPES.find((t) => t.name === worker.tuft.breed)!;
-      const left = { cores: type.cores, gpus: type.gpus, memoryGb: type.memoryGb };
-      for (const task of worker.tasks.values()) {
-        const spec = this.jobs.get(task.spore.split("/")[0]!)?.spec;
-        if (!spec || task.phase === "exited") continue;
-        const team = used[spec.crew as "one" | "two"];
-        left.cores -= spec.cores;
-        team.cores += spec.cores;
-        left.gpus -= Number(spec.gpus);
-        team.gpus += Number(spec.gpus);
-        left.memoryGb -= Number(spec.memoryGb);
-      }
-      free.set(worker, left);
-    }
-    for (const job of this.jobs.values()) {
-      const { spec } = job;
-      const open = spec.spores - job.done.size - this.live(spec.ref).length;
-      const waits = job.accepted && job.told === null && !job.cancelAsked && open > 0;
-      if (!waits || !this.hasRoom(spec, spec.form === "array" ? 1 : spec.spores, free, used)) {
-        job.waitsSinceMs = null;
-        continue;
-      }
-      job.waitsSinceMs ??= now;
-      if (now - job.waitsSinceMs < 90_000) continue;
-      this.broken.push(`left waiting ${spec.ref}`);
-      job.waitsSinceMs = now;
-    }
-  }
-
-  /** Troubles over, what never came up is not paid for any longer. */
-  private watchBoots(now: number): void {
-    for (const tuft of this.cloud.tufts.values()) {
-      if (tuft.up || this.lingering.has(tuft.ref)) continue;
-      if (now - Math.max(tuft.bornMs, this.calmFromMs) < NEVER_UP_MS) continue;
-      this.lingering.add(tuft.ref);
-      this.broken.push(`paid for nothing ${tuft.ref}: never up since ${tuft.bornMs}`);
-    }
-  }
-
-  private hasRoom(
-    spec: SimJob["spec"],
-    tasks: number,
-    free: Map<SimWorker, { cores: number; gpus: number; memoryGb: number }>,
-    used: Record<"one" | "two", { cores: number; gpus: number }>,
-  ): boolean {
-    const crew = spec.crew as "one" | "two";
-    const gpus = Number(spec.gpus);
-    const live = this.live(spec.ref);
-    const need = spec.form === "array" ? 1 : tasks - live.length;
-    const limit = this.limits[crew];
-    if (used[crew].cores + need * spec.cores > limit.cpus || used[crew].gpus + need * gpus > limit.gpus)
-      return false;
-    const inZone = new Map<string, number>();
-    for (const [worker, left] of free) {
-      const { breed, patch, windfall } = worker.tuft;
-      const breeds = spec.breeds as string[] | null | undefined;
-      if ((breeds && !breeds.includes(breed)) || (spec.patch && spec.patch !== patch)) continue;
-      if (windfall && spec.windfall !== true) continue;
-      const by = [
-        left.cores / spec.cores,
-        left.memoryGb / Number(spec.memoryGb),
-        gpus > 0 ? left.gpus / gpus : Infinity,
-      ];
-      inZone.set(patch, (inZone.get(patch) ?? 0) + Math.max(0, Math.floor(Math.min(...by))));
-    }
-    const zones = [...inZone].map(([zone, n]) => {
-      const there = live.filter((x) => x.w.tuft.patch === zone).length;
-      if (spec.together && live.length > there) return 0;
-      return spec.scatter ? Math.min(n, Math.ceil(spec.spores / 2) - there) : n;
-    });
-    return (spec.together ? Math.max(0, ...zones) : zones.reduce((a, b) => a + b, 0)) >= need;
-  }
-
   unfinished(): string[] {
     return [...this.jobs.values()].filter((j) => j.accepted && j.told === null).map((j) => j.spec.ref);
   }
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -11,6 +11,8 @@
   cutOff,
   cutZone,
   deafen,
+  faultyMachines,
+  floodOfQuestions,
   followers,
   isPeer,
   isState,
@@ -18,8 +20,11 @@
   leaderHost,
   leaderName,
   meetTheEnd,
+  mistakes,
   mute,
   oddRequests,
+  silence,
+  troubledBoots,
   type Trouble,
 } from "./fakes/troubles.js";
 import { World } from "./fakes/world.js";
@@ -349,6 +354,50 @@
       [16, (w) => cutLeader(w, isState, 12_000)],
     ],
   },
+  {
+    name: "a leader that was silent for more than a minute wakes as it was, with its old term; jobs are cancelled meanwhile",
+    grown: true,
+    repeat: 0.05,
+    long: 8,
+    at: [
+      [14, (w) => silence(w, leaderName(w), 75_000)],
+      [14.2, (w) => cancelRunning(w, 4, 6000)],
+      [30, (w) => silence(w, followers(w)[0]!, 62_000)],
+      [34, (w) => cancelRunning(w, 3)],
+    ],
+  },
+  {
+    name: "a flood of questions meets a change of leader and the end of an outage",
+    grown: true,
+    long: 4,
+    at: [
+      [8, (w) => floodOfQuestions(w, 10, 40_000)],
+      [12, crashLeader(90)],
+      [18, (w) => w.state.outage(14_000)],
+      [32.2, crashLeader(2500)],
+      [33, (w) => cancelRunning(w, 3)],
+    ],
+  },
+  {
+    name: "machines that come up late or never meet a takeover and an outage of the cloud's interface",
+    grown: true,
+    at: [
+      [8, (w) => troubledBoots(w, 4, { factor: 4, neverShare: 0.4 }, 20_000)],
+      [10, crashLeader(2500)],
+      [12, (w) => w.cloud.outage(12_000)],
+      [30, (w) => troubledBoots(w, 4, { factor: 0.1, neverShare: 0 }, 10_000)],
+      [31.5, crashLeader(90)],
+    ],
+  },
+  {
+    name: "jobs with a mistake meet faulty machines and a change of leader; they are known until they are cancelled",
+    grown: true,
+    at: [
+      [8, (w) => mistakes(w, 5, 30_000)],
+      [12, (w) => faultyMachines(w, 3, 20_000)],
+      [18, crashLeader(90)],
+    ],
+  },
 ];
 
 for (const [index, day] of meetings.entries()) {
