--- a/test/fakes/calmWatch.ts
+++ b/test/fakes/calmWatch.ts
@@ -1,6 +1,7 @@
 import { TYPES, type Limits } from "./region.js";
 import type { SimWorker } from "./worker.js";
-import type { SimJob, World } from "./world.js";
+import type { SimJob } from "./job.js";
+import type { World } from "./world.js";
 
 /** Three times the longest boot, half a minute, and time for the list and the deletion. */
 const NEVER_UP_MS = 60_000;
--- a/test/fakes/day.ts
+++ b/test/fakes/day.ts
@@ -30,8 +30,7 @@
   await world.run(Math.max(25, lastS));
   // Some troubles last longer than the others.
   await world.run(Math.max(0, world.calmFromMs - world.clock.nowMs()) / 1000);
-  for (const job of world.jobs.values())
-    if (job.runS === null && job.accepted && !job.cancelAsked) world.cancel(job);
+  world.cancelEndless();
   await world.run(85);
   assert.deepEqual(world.broken, []);
   assert.deepEqual(world.unfinished(), [], "every accepted job is done or cancelled");
--- a/test/fakes/drawnDay.ts
+++ b/test/fakes/drawnDay.ts
@@ -29,8 +29,7 @@
   // Some troubles last longer than the others.
   await world.run(Math.max(0, world.calmFromMs - world.clock.nowMs()) / 1000);
   // Whoever is still there has been left to run: its users call it off now.
-  for (const job of world.jobs.values())
-    if (job.runS === null && job.accepted && !job.cancelAsked) world.cancel(job);
+  world.cancelEndless();
   await world.run(115);
   return { day, broken: world.broken, unfinished: world.unfinished() };
 }
--- a/test/fakes/troubles.ts
+++ b/test/fakes/troubles.ts
@@ -1,6 +1,7 @@
 import type { BootTrouble } from "./cloud.js";
 import type { SimWorker } from "./worker.js";
-import type { SimJob, World } from "./world.js";
+import type { SimJob } from "./job.js";
+import type { World } from "./world.js";
 
 /** Users of the simulated world ask about a job this often. */
 const POLL_EVERY_MS = 2500;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -8,6 +8,7 @@
 import { CalmWatch } from "./calmWatch.js";
 import { SimCloud } from "./cloud.js";
 import { SimNet } from "./net.js";
+import type { SimJob } from "./job.js";
 import { LIMITS, platformOf, TYPES, type Limits } from "./region.js";
 import { SimState } from "./state.js";
 import { SimWorker, type SimTask } from "./worker.js";
@@ -21,25 +22,6 @@
   links: Map<string, (frame: Buffer) => string | null>;
 }
 
-export interface SimJob {
-  spec: Record<string, unknown> & { ref: string; spores: number; form: string; crew: string; cores: number };
-  runS: number | null;
-  /** Each task runs for so much longer than the one before it. */
-  stepS: number;
-  askedMs: number;
-  accepted: boolean;
-  told: string | null;
-  toldMs: number;
-  cancelAsked: boolean;
-  done: Set<string>;
-  /** When one of its questions was last answered. */
-  answeredMs: number;
-  /** When the first of its tasks began. */
-  beganMs: number | null;
-  /** Since when it waits though there is room for it; null: it does not. */
-  waitsSinceMs: number | null;
-}
-
 export interface WorldOptions {
   /** Controllers. */
   size?: number;
@@ -368,6 +350,12 @@
     attempt();
   }
 
+  /** What would run until it is cancelled is called off now. */
+  cancelEndless(): void {
+    for (const job of this.jobs.values())
+      if (job.runS === null && job.accepted && !job.cancelAsked) this.cancel(job);
+  }
+
   /** Once more as it was submitted: whatever became of it, the answer says so. */
   repeat(job: SimJob): void {
     const sentMs = this.clock.nowMs();
