--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 const TODAY = {
   fileLines: 560,
   functionLines: 95,
-  testFileLines: 561,
+  testFileLines: 573,
   complexity: 32,
   depth: 6,
   parameters: 7,
