Read-through: one grouping, one sum of a team's tasks, one order by arrival; behaviour unchanged

The limit that a gang can attain is summed over its team's jobs only when the limit is in the way; it was summed in every cycle. stopForQuota calls mayEvict and shares dropVictims with makeRoom; groupBy, addTasks and bySince replace copies; serveOrder has its doc comment back.

--- a/src/bookkeeping/usage.ts
+++ b/src/bookkeeping/usage.ts
@@ -9,6 +9,12 @@
   gpus: number;
 }
 
+/** Adds what so many of a job's tasks take of their team's limit. */
+export function addTasks(sum: TeamAmount, spec: JobSpec, tasks: number): void {
+  sum.cpus += spec.cpus * tasks;
+  sum.gpus += spec.gpus * tasks;
+}
+
 /** What each team's tasks may be using: everything planned and not yet proved gone (rule `quota`). */
 export class Usage {
   private readonly used = new Map<string, TeamAmount>();
@@ -28,9 +34,7 @@
   }
 
   add(spec: JobSpec, tasks: number): void {
-    const used = this.of(spec.team);
-    used.cpus += spec.cpus * tasks;
-    used.gpus += spec.gpus * tasks;
+    addTasks(this.of(spec.team), spec, tasks);
   }
 
   /** How many more tasks of this kind the team's limit allows, with what a plan takes already. */
--- /dev/null
+++ b/src/coordination/scheduling/groupBy.ts
@@ -0,0 +1,11 @@
+/** The items by their key, in their order. Pure. */
+export function groupBy<Item>(items: Iterable<Item>, keyOf: (item: Item) => string): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -1,8 +1,9 @@
 import type { JobSpec } from "../../protocol/model.js";
 import type { Amount } from "../../bookkeeping/machines.js";
+import { groupBy } from "./groupBy.js";
 import { fetchDelayS, placementCost, roomFor } from "./placementCost.js";
 import type { PlacementInput, PlacementPlan, Reservation } from "./placementPlan.js";
-import { victimsFor } from "./preemption.js";
+import { mayEvict, victimsFor } from "./preemption.js";
 import { addTo, allows, fits, howMany, takeFrom, zoneRoom } from "./views.js";
 import type { JobView, MachineView, VictimView } from "./views.js";
 
@@ -31,7 +32,7 @@
     machinesExamined: 0,
   };
   private readonly byName = new Map<string, MachineView>();
-  private readonly reservations = new Map<string, Reservation[]>();
+  private readonly reservations: Map<string, Reservation[]>;
   /** Shapes that fitted nowhere: in one cycle room only shrinks, so what asks for no less fits nowhere either. */
   private readonly unplaceable: JobSpec[] = [];
   private readonly open: MachineView[];
@@ -50,16 +51,12 @@
       this.byName.set(machine.name, machine);
       machine.held = null;
     }
-    for (const reservation of input.reservations) {
-      const list = this.reservations.get(reservation.jobId);
-      if (list) list.push(reservation);
-      else this.reservations.set(reservation.jobId, [reservation]);
-    }
+    this.reservations = groupBy(input.reservations, (reservation) => reservation.jobId);
     const wanted = new Map(input.jobs.map((j) => [j.spec.id, j.spec]));
-    for (const h of input.reservations) {
-      const m = this.byName.get(h.machine);
-      const spec = wanted.get(h.jobId);
-      if (m && !m.held && spec) this.setAside(m, spec, h.tasks, h.etaS);
+    for (const { jobId, machine: name, tasks, etaS } of input.reservations) {
+      const machine = this.byName.get(name);
+      const spec = wanted.get(jobId);
+      if (machine && !machine.held && spec) this.setAside(machine, spec, tasks, etaS);
     }
     this.plan.machinesExamined += input.machines.length;
     this.open = input.machines.filter(
@@ -107,7 +104,9 @@
     const wanted = Math.min(job.pending, job.limit, job.share);
     const allowed = quota.room(spec);
     if (spec.kind === "gang") {
-      if (wanted < spec.tasks || quota.attainable(spec) < spec.tasks) return;
+      if (wanted < spec.tasks) return;
+      // Summed over all of the team's jobs, so only when its limit is in the way.
+      if (allowed < spec.tasks && quota.attainable(spec) < spec.tasks) return;
       this.placeGang(job, allowed);
       return;
     }
@@ -151,28 +150,27 @@
     this.preemptors++;
     this.plan.machinesExamined += this.input.machines.length;
     const now = this.input.nowMs;
-    const options: { m: MachineView; victim: VictimView; lossS: number }[] = [];
+    const options: { machine: MachineView; victim: VictimView; lossS: number }[] = [];
     for (const machine of this.input.machines) {
       for (const victim of machine.victims()) {
-        if (victim.team !== spec.team || victim.priority >= spec.priority) continue;
+        if (victim.team !== spec.team || !mayEvict(job, victim, this.input)) continue;
         const lossS = victim.lossS(now);
-        if (lossS < Infinity) options.push({ m: machine, victim, lossS });
+        if (lossS < Infinity) options.push({ machine, victim, lossS });
       }
     }
     if (options.length === 0) this.noVictimsFor.add(shape);
     options.sort((a, b) => a.victim.priority - b.victim.priority || a.lossS - b.lossS);
     const missing: Amount = { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks, memoryGb: 0 };
-    for (const { m, victim } of options) {
+    for (const { machine, victim } of options) {
       if (missing.cpus <= 1e-6 && missing.gpus <= 1e-6) break;
       if (this.plan.evictions.length >= this.input.maxEvictions) break;
       const helps = (missing.cpus > 1e-6 && victim.cpus > 0) || (missing.gpus > 1e-6 && victim.gpus > 0);
       if (!helps) continue;
       missing.cpus -= victim.cpus;
       missing.gpus -= victim.gpus;
-      const left = m.victims().filter((v) => v !== victim);
-      m.victims = () => left;
-      addTo(m.leaving, victim);
-      this.plan.touched.add(m);
+      dropVictims(machine, [victim]);
+      addTo(machine.leaving, victim);
+      this.plan.touched.add(machine);
       this.plan.evictions.push({ ref: victim.ref, jobId: spec.id });
     }
   }
@@ -455,8 +453,7 @@
         entry.tasks++;
         takeFrom(m.free, spec, 1);
         for (const v of found.victims) addTo(m.leaving, v);
-        const left = m.victims().filter((v) => !found.victims.includes(v));
-        m.victims = () => left;
+        dropVictims(m, found.victims);
         zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
         missing--;
       }
@@ -481,6 +478,12 @@
   }
 }
 
+/** Who is to be stopped is nobody's victim any more. */
+function dropVictims(machine: MachineView, gone: VictimView[]): void {
+  const left = machine.victims().filter((victim) => !gone.includes(victim));
+  machine.victims = () => left;
+}
+
 function sum(list: { tasks: number }[]): number {
   return list.reduce((total, p) => total + p.tasks, 0);
 }
--- a/src/coordination/scheduling/queue.ts
+++ b/src/coordination/scheduling/queue.ts
@@ -1,3 +1,4 @@
+import { groupBy } from "./groupBy.js";
 import type { Job } from "../../bookkeeping/jobs.js";
 import type { Objective, Team } from "../../settings/platform.js";
 
@@ -6,13 +7,10 @@
  * unfinished jobs. Pure.
  */
 export function withinGuarantee(jobs: Iterable<Job>, teams: Map<string, Team>): Set<Job> {
-  const byTeam = new Map<string, Job[]>();
-  for (const job of jobs) {
-    if (job.cancelled) continue;
-    const list = byTeam.get(job.spec.team);
-    if (list) list.push(job);
-    else byTeam.set(job.spec.team, [job]);
-  }
+  const byTeam = groupBy(
+    [...jobs].filter((job) => !job.cancelled),
+    (job) => job.spec.team,
+  );
   const within = new Set<Job>();
   for (const [name, list] of byTeam) {
     const team = teams.get(name);
@@ -75,6 +73,14 @@
   return [...targets].sort((a, b) => a - b);
 }
 
+/** Jobs that begin out of turn in one cycle, each with so many tasks. */
+const MAX_EARLY_JOBS = 8;
+export const EARLY_TASKS = 2;
+/** An array that would take all the room for longer than this shares it with its like. */
+const SHARED_FROM_S = 60;
+/** Of a priority's room, what is late may take so much before those who can still be in time. */
+const LATE_SHARE = 0.35;
+
 /**
  * The order in which jobs are served: priority, then guaranteed work, then as many jobs as can be in time.
  * `roomOf` is the room that each priority has for what it is offered, `teamLimit` what a team may use of it at most.
@@ -84,14 +90,6 @@
  * target, and the others keep theirs. Those that stepped back are tried again at their next, looser target; what can't
  * meet any comes last, the smallest first. Pure.
  */
-/** Jobs that begin out of turn in one cycle, each with so many tasks. */
-const MAX_EARLY_JOBS = 8;
-export const EARLY_TASKS = 2;
-/** An array that would take all the room for longer than this shares it with its like. */
-const SHARED_FROM_S = 60;
-/** Of a priority's room, what is late may take so much before those who can still be in time. */
-const LATE_SHARE = 0.35;
-
 export function serveOrder(
   entries: QueueEntry[],
   roomOf: (priority: number, gpus: boolean) => number,
@@ -148,8 +146,8 @@
   return out;
 }
 
-function bySince(entry: QueueEntry, b: QueueEntry): number {
-  return entry.since - b.since || (entry.id < b.id ? -1 : 1);
+function bySince(a: QueueEntry, b: QueueEntry): number {
+  return a.since - b.since || (a.id < b.id ? -1 : 1);
 }
 
 /** `room` is shared by the guaranteed, who come first, and the others. */
@@ -169,7 +167,7 @@
       left = dropped;
       busyS = endS;
     }
-    left.sort((a, b) => bySize(a, b));
+    left.sort(bySize);
     shareRoom(left, room - out.reduce((sum, e) => sum + e.width, 0), teamLimit);
     out.push(...left);
   }
@@ -186,14 +184,8 @@
   room: number,
   teamLimit: (team: string, gpus: boolean) => number,
 ): void {
-  const byTeam = new Map<string, QueueEntry[]>();
-  for (const entry of entries) {
-    const { team, kind } = entry.job.spec;
-    if (kind !== "array" || entry.targetsLeftS.length > 0) continue;
-    const list = byTeam.get(team);
-    if (list) list.push(entry);
-    else byTeam.set(team, [entry]);
-  }
+  const arrays = entries.filter((e) => e.job.spec.kind === "array" && e.targetsLeftS.length === 0);
+  const byTeam = groupBy(arrays, (e) => e.job.spec.team);
   for (const [team, list] of byTeam) {
     const part = Math.min(Math.max(0, room) / byTeam.size, teamLimit(team, list[0]!.gpus));
     const large = list.filter((entry) => wholeWork(entry) > part * SHARED_FROM_S);
@@ -211,11 +203,10 @@
   return (spec.gpus || spec.cpus) * spec.tasks * entry.taskS;
 }
 
-function bySize(entry: QueueEntry, b: QueueEntry): number {
+function bySize(a: QueueEntry, b: QueueEntry): number {
   // Without targets there is nothing to be in time for: first come, first served.
-  if (entry.targetsLeftS.length === 0 && b.targetsLeftS.length === 0)
-    return entry.since - b.since || (entry.id < b.id ? -1 : 1);
-  return entry.work - b.work || entry.since - b.since || (entry.id < b.id ? -1 : 1);
+  if (a.targetsLeftS.length === 0 && b.targetsLeftS.length === 0) return bySince(a, b);
+  return a.work - b.work || bySince(a, b);
 }
 
 function inTime(
@@ -227,7 +218,7 @@
   const kept: QueueEntry[] = [];
   const dropped: QueueEntry[] = [];
   const due = (e: QueueEntry): number => e.targetsLeftS[level] ?? -Infinity;
-  const sorted = [...entries].sort((a, b) => due(a) - due(b) || a.since - b.since || (a.id < b.id ? -1 : 1));
+  const sorted = [...entries].sort((a, b) => due(a) - due(b) || bySince(a, b));
   let endS = startS;
   for (const entry of sorted) {
     if (entry.taskS > due(entry)) {
--- a/src/coordination/scheduling/quotaView.ts
+++ b/src/coordination/scheduling/quotaView.ts
@@ -1,5 +1,5 @@
 import type { Job } from "../../bookkeeping/jobs.js";
-import type { TeamAmount, Usage } from "../../bookkeeping/usage.js";
+import { addTasks, type TeamAmount, type Usage } from "../../bookkeeping/usage.js";
 import type { JobSpec } from "../../protocol/model.js";
 import type { QuotaView } from "./views.js";
 
@@ -64,8 +64,3 @@
 function lasts(running: JobSpec, waiting: JobSpec): boolean {
   return running.kind !== "array" || running.priority > waiting.priority;
 }
-
-function addTasks(sum: TeamAmount, spec: JobSpec, tasks: number): void {
-  sum.cpus += spec.cpus * tasks;
-  sum.gpus += spec.gpus * tasks;
-}
--- a/test/fakes/day.ts
+++ b/test/fakes/day.ts
@@ -29,7 +29,7 @@
   // What was to outlive the troubles is called off only now.
   await world.run(Math.max(25, lastS));
   // Some troubles last longer than the others.
-  await world.run(Math.max(0, world.calmFromMs - world.clock.nowMs()) / 1000);
+  await world.runUntilCalm();
   world.cancelEndless();
   await world.run(85);
   assert.deepEqual(world.broken, []);
--- a/test/fakes/drawnDay.ts
+++ b/test/fakes/drawnDay.ts
@@ -27,7 +27,7 @@
   await world.mixedWork(60);
   await world.run(50);
   // Some troubles last longer than the others.
-  await world.run(Math.max(0, world.calmFromMs - world.clock.nowMs()) / 1000);
+  await world.runUntilCalm();
   // Whoever is still there has been left to run: its users call it off now.
   world.cancelEndless();
   await world.run(115);
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -263,6 +263,11 @@
     }
   }
 
+  /** Until the last trouble is over, if that is still to come. */
+  async runUntilCalm(): Promise<void> {
+    await this.run(Math.max(0, this.calmFromMs - this.clock.nowMs()) / 1000);
+  }
+
   async run(seconds: number): Promise<void> {
     await this.clock.advance(seconds * 1000);
   }
