--- a/src/coordination/leadership/leader.ts
+++ b/src/coordination/leadership/leader.ts
@@ -146,7 +146,7 @@
   }
 
   private elected(news: ElectionNews): void {
-    const { lease: lease } = news;
+    const { lease } = news;
     if (this.leaderTerm && this.leaderTerm.lease.term === lease?.term) {
       this.leaderTerm.lease = lease;
       return;
--- a/src/coordination/leadership/recordStore.ts
+++ b/src/coordination/leadership/recordStore.ts
@@ -272,7 +272,7 @@
     const { term } = this.leaderTerm.lease;
     void state
       .commit(transaction.guards, transaction.changes, clock.nowMs() + 2000)
-      .then((outcome) => this.options.tell({ kind: "committed", term, transaction: transaction, outcome }));
+      .then((outcome) => this.options.tell({ kind: "committed", term, transaction, outcome }));
   }
 
   committed(transaction: Transaction, outcome: CommitOutcome): void {
--- a/src/coordination/reports/reportServer.ts
+++ b/src/coordination/reports/reportServer.ts
@@ -508,18 +508,21 @@
 }
 
 /** Does the newer report tell the leader nothing but that the worker lives? Pure. */
-export function isUnchanged(report: Report, b: Report): boolean {
+export function isUnchanged(known: Report, newer: Report): boolean {
   if (
-    report.session !== b.session ||
-    report.token !== b.token ||
-    (report.noticeS === null) !== (b.noticeS === null)
+    known.session !== newer.session ||
+    known.token !== newer.token ||
+    (known.noticeS === null) !== (newer.noticeS === null)
   )
     return false;
-  if (report.address !== b.address || report.tasks.length !== b.tasks.length) return false;
-  return report.tasks.every((task, i) => {
-    const u = b.tasks[i]!;
+  if (known.address !== newer.address || known.tasks.length !== newer.tasks.length) return false;
+  return known.tasks.every((task, i) => {
+    const other = newer.tasks[i]!;
     return (
-      task.phase === u.phase && task.task === u.task && task.jobId === u.jobId && task.attempt === u.attempt
+      task.phase === other.phase &&
+      task.task === other.task &&
+      task.jobId === other.jobId &&
+      task.attempt === other.attempt
     );
   });
 }
--- a/src/coordination/reports/reportServerRegistry.ts
+++ b/src/coordination/reports/reportServerRegistry.ts
@@ -140,7 +140,7 @@
       stateServed,
       resync,
       cancellationSeq: book.cancellationSeq,
-      quarantined: quarantined,
+      quarantined,
       servers: this.servers(self, nowMs),
     };
   }
--- a/src/coordination/reports/supervisor.ts
+++ b/src/coordination/reports/supervisor.ts
@@ -254,7 +254,7 @@
   }
 
   private exited(attempt: Attempt, task: ReportedTask): void {
-    const { job, machine: machine } = attempt;
+    const { job, machine } = attempt;
     const now = this.options.clock.nowMs();
     const ranS = attempt.runningMs === null ? 0 : (now - attempt.runningMs) / 1000;
     machineImage(machine, job, task);
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -371,7 +371,7 @@
           job,
           task,
           attempt,
-          machine: machine,
+          machine,
           durable: false,
           inherited: false,
           sentToken: -1,
