--- a/src/coordination/leadership/election.ts
+++ b/src/coordination/leadership/election.ts
@@ -5,6 +5,7 @@
 import type { Clock, Timer } from "../../transport/clock.js";
 import { Actor } from "../../transport/mailbox.js";
 import { log } from "../../transport/log.js";
+import { LeaderSuspicion } from "./leaderSuspicion.js";
 import { leadershipLeaseUntilMs } from "./leaseExpiry.js";
 
 /** What the leader may do, and until when by its own steady clock. */
@@ -52,6 +53,8 @@
 }
 
 interface LeadershipView {
+  /** The state service's revision when it was read. */
+  revision: number;
   termVersion: number;
   term: number;
   record: LeadershipRecord | null;
@@ -65,7 +68,7 @@
   | { kind: "peer"; message: PeerMessage }
   | { kind: "deposed"; term: number }
   | { kind: "behind"; term: number }
-  | { kind: "refused"; peer: string };
+  | { kind: "refused"; peer: string; othersReachable: boolean };
 
 /** A renewal without an answer is tried again after this. */
 const RENEW_MS = 1300;
@@ -76,8 +79,8 @@
 /** A leader that falls behind lets the others try for so long. */
 const STAND_BACK_MS = 20_000;
 
-export function readLeadership(items: Item[]): LeadershipView {
-  const view: LeadershipView = { termVersion: 0, term: 0, record: null };
+export function readLeadership(items: Item[], revision: number): LeadershipView {
+  const view: LeadershipView = { revision, termVersion: 0, term: 0, record: null };
   for (const item of items) {
     const o = asObject(item.value);
     if (item.key === keys.term) {
@@ -135,8 +138,7 @@
   private timer: Timer | null = null;
   private stopped = false;
   private standBackUntilMs = -Infinity;
-  /** The leader, when its host refuses connections. */
-  private suspect: string | null = null;
+  private readonly suspicion = new LeaderSuspicion();
 
   constructor(private readonly options: ElectionOptions) {
     super();
@@ -179,7 +181,12 @@
         // Only a suspicion (a node without free sockets refuses, too), so nothing is concluded from it but that a new
         // term may begin early: what the old leader may still do is as bounded as ever, by guards, tokens and times.
         if (message.peer === this.leader && !this.ownTerm) {
-          this.suspect = message.peer;
+          this.suspicion.raise(
+            message.peer,
+            this.leaderTerm,
+            message.othersReachable,
+            this.options.clock.nowMs(),
+          );
           this.probeAfter(0);
         }
         break;
@@ -209,7 +216,11 @@
         .then((outcome) => this.tell({ kind: "renewed", term, outcome, sentMs }));
     } else {
       void this.options.state.list(keys.lead, sentMs + 1500).then((list) => {
-        this.tell({ kind: "probed", view: list.kind === "ok" ? readLeadership(list.items) : null, sentMs });
+        this.tell({
+          kind: "probed",
+          view: list.kind === "ok" ? readLeadership(list.items, list.revision) : null,
+          sentMs,
+        });
       });
     }
   }
@@ -223,11 +234,13 @@
     this.hasRead = true;
     this.knownTerm = Math.max(this.knownTerm, view.term);
     this.setLeader(view.record ? view.record.node : null, view.record?.term ?? 0);
-    const { suspect } = this;
-    this.suspect = null;
-    if (view.record && suspect !== null && view.record.node === suspect) {
-      this.endLease(view.record, `${suspect} refuses connections`);
-      return;
+    if (view.record) {
+      const { node, term } = view.record;
+      const read = { leader: node, term, revision: view.revision };
+      if (this.suspicion.confirmedBy(read, this.options.clock.nowMs())) {
+        this.endLease(view.record, `${node} refuses connections`);
+        return;
+      }
     }
     if (!view.record) {
       if (this.options.clock.nowMs() < this.standBackUntilMs) this.probeAfter(this.options.probeMs);
@@ -283,7 +296,7 @@
       if (outcome.kind === "unknown") {
         // Perhaps carried out: read, never guess.
         const list = await this.options.state.list(keys.lead, this.options.clock.nowMs() + 1500);
-        const now = list.kind === "ok" ? readLeadership(list.items) : null;
+        const now = list.kind === "ok" ? readLeadership(list.items, list.revision) : null;
         if (
           now?.record?.life === this.options.life &&
           now.record.term === term &&
--- a/src/coordination/reports/reportServer.ts
+++ b/src/coordination/reports/reportServer.ts
@@ -8,6 +8,7 @@
 import type { ElectionNews, LeadershipLease } from "../leadership/election.js";
 import { DRIFT, firstToken } from "../leadership/leaseExpiry.js";
 import { ConfirmedCancellations } from "./confirmedCancellations.js";
+import { WorkerBalancer } from "./workerBalancer.js";
 
 type Message =
   | { kind: "election"; news: ElectionNews }
@@ -64,30 +65,17 @@
 const TICK_MS = 500;
 /** Changes wait this long for company: each frame wakes this process and the leader's. */
 const BATCH_CHANGES_MS = 40;
+/** A new leader has most to do in this time. */
+const NEW_LEADER_MS = 8000;
 /** A worker that has not reported for so long is forgotten here; the leader knows more. */
 const FORGET_MS = 60_000;
 /** Tasks in the reports of one frame. */
 const FRAME_TASKS = 1200;
-/** A node this far behind sends workers on to nodes that keep up. */
-const SLOW_MS = 400;
-/** The leader has other work; of workers it takes this share of what the others take, and less as it begins. */
-const LEADER_SHARE = 0.5;
-const NEW_LEADER_SHARE = 0.1;
-const NEW_LEADER_MS = 8000;
-/** A controller with fewer workers than this is sent one at a time: perhaps they don't reach it. */
-const FEW_MACHINES = 5;
-const TRICKLE_MS = 250;
-/** A worker waits so long for an answer at the least before it gives a controller up. */
-const ANSWER_MS = 3500;
-const UNREACHABLE_MS = 20_000;
 /** How long a neighbour's word that it hears from no leader counts; and how long such a word may take to come. */
 const NEIGHBOUR_MS = 1600;
 const DECIDE_MS = 1500;
 /** Without a grant for so long, workers are sent to the leader; before that they find the next node by themselves. */
 const NAME_LEADER_MS = 2500;
-/** Workers that are sent on though they were here already are this far apart. */
-const MOVE_EVERY_MS = 30;
-
 /**
  * Answers workers' reports, at every node, under a grant of the leader (or by the leader's own lease). A 200 renews
  * a worker's lease, so it is given only while the grant lasts, and every one of them is told to the leader, whose
@@ -109,18 +97,11 @@
   private echoedStampMs = 0;
   private resyncedStampMs = 0;
   private sequence = 0;
-  private servers: Grant["servers"] = [];
   private readonly workers = new Map<string, KnownWorker>();
   private readonly unchanged = new Map<string, UnchangedReport>();
   private readonly changed = new Map<string, KnownWorker>();
   private machines = 0;
-  private nextMoveMs = -Infinity;
-  /** Where we sent workers, and when. */
-  private readonly redirected = new Map<string, { to: string; atMs: number }>();
-  /** Controllers that workers we sent did not reach, and until when we send none there. */
-  private readonly unreachable = new Map<string, number>();
-  /** When we may send the next one to a controller that hardly serves any. */
-  private nextTrickleMs = -Infinity;
+  private readonly balancer: WorkerBalancer;
   /** The other controllers of our zone. */
   private readonly neighbours: string[];
   /** As leader: what the leader beside us allows in this term. */
@@ -134,6 +115,7 @@
   constructor(private readonly options: ReportServerOptions) {
     super();
     this.confirmedCancellations = new ConfirmedCancellations(options.keepCancellationsMs);
+    this.balancer = new WorkerBalancer(options.node, options.zones);
     this.neighbours = [...options.zones]
       .filter(([node, zone]) => node !== options.node && zone === options.zone)
       .map(([n]) => n);
@@ -171,7 +153,7 @@
         break;
       case "servers":
         // Beside the leader there is no grant to bring them.
-        if (this.lease) this.servers = message.servers;
+        if (this.lease) this.balancer.setServers(message.servers);
         break;
       case "limits":
         this.applyLimits(message.limits);
@@ -215,7 +197,7 @@
     this.echoedStampMs = 0;
     this.resyncedStampMs = 0;
     this.sequence = 0;
-    this.servers = [];
+    this.balancer.setServers([]);
     this.confirmedCancellations.beginTerm();
     this.unchanged.clear();
     this.resync();
@@ -273,7 +255,7 @@
     this.echoedStampMs = Math.max(this.echoedStampMs, grant.stampMs);
     this.confirmedCancellations.acknowledgedUpTo(grant.cancellationSeq);
     this.quarantined = new Set(grant.quarantined);
-    this.servers = grant.servers;
+    this.balancer.setServers(grant.servers);
   }
 
   private report(report: Report, reply: (answer: Answer) => void): void {
@@ -306,8 +288,8 @@
       reply({ status: 503, body: {} });
       return;
     }
-    this.noteReturnOfWorker(report.machine, now);
-    const other = ownZone ? null : this.redirectTarget(report, known !== undefined);
+    this.balancer.noteReturn(report.machine, now);
+    const other = ownZone ? null : this.redirectTarget(report, known !== undefined, now);
     if (other !== null) {
       this.workers.delete(report.machine);
       reply({ status: 421, body: encodeElsewhere(other) });
@@ -343,56 +325,14 @@
   }
 
   /** Another controller that this worker should go to; null: stay. */
-  private redirectTarget(report: Report, isKnown: boolean): string | null {
-    const now = this.options.clock.nowMs();
-    // Moving costs a report: whoever is here goes only a few at a time.
-    if (isKnown && now < this.nextMoveMs) return null;
-    const to = chooseServer({
-      node: this.options.node,
+  private redirectTarget(report: Report, isKnown: boolean, now: number): string | null {
+    return this.balancer.redirectTarget(report, {
+      isKnown,
       leader: this.leader,
-      leaderShare: now - this.termSeenMs < NEW_LEADER_MS ? NEW_LEADER_SHARE : LEADER_SHARE,
+      leaderIsNew: now - this.termSeenMs < NEW_LEADER_MS,
       lagMs: this.options.lagMs(),
-      isKnown,
-      servers:
-        this.unreachable.size === 0
-          ? this.servers
-          : this.servers.filter((h) => !this.isUnreachable(h.node, now)),
-      zone: report.zone,
-      zoneOf: (node) => this.options.zones.get(node) ?? "",
+      nowMs: now,
     });
-    if (to === null) return null;
-    if ((this.servers.find((h) => h.node === to)?.machines ?? 0) < FEW_MACHINES) {
-      if (now < this.nextTrickleMs) return null;
-      this.nextTrickleMs = now + TRICKLE_MS;
-    }
-    this.redirected.set(report.machine, { to, atMs: now });
-    if (isKnown) this.nextMoveMs = now + MOVE_EVERY_MS;
-    for (const h of this.servers) {
-      if (h.node === to) h.machines++;
-      else if (h.node === this.options.node) h.machines--;
-    }
-    return to;
-  }
-
-  private isUnreachable(node: string, now: number): boolean {
-    const untilMs = this.unreachable.get(node);
-    if (untilMs === undefined) return false;
-    if (now < untilMs) return true;
-    this.unreachable.delete(node);
-    return false;
-  }
-
-  /**
-   * Granted, and cut off from the workers alone, a controller has ever fewer of them: the lightest, to which everybody
-   * would send theirs, to wait there for an answer while their leases run out. Who comes back after such a wait has not
-   * reached it.
-   */
-  private noteReturnOfWorker(machine: string, now: number): void {
-    const sent = this.redirected.get(machine);
-    if (!sent) return;
-    this.redirected.delete(machine);
-    const awayMs = now - sent.atMs;
-    if (awayMs > ANSWER_MS && awayMs < 4 * ANSWER_MS) this.unreachable.set(sent.to, now + UNREACHABLE_MS);
   }
 
   private flushSoon(): void {
@@ -451,8 +391,7 @@
       else if (now - worker.heardMs < 2500 * this.options.reportS) this.machines++;
     }
     this.confirmedCancellations.expire(now);
-    for (const [machine, s] of this.redirected)
-      if (now - s.atMs > 5 * ANSWER_MS) this.redirected.delete(machine);
+    this.balancer.forgetOld(now);
     if (!this.lease) this.flush();
     if (now >= this.untilMs() && now < this.zoneUntilMs) {
       for (const node of this.neighbours)
@@ -461,47 +400,6 @@
   }
 }
 
-/**
- * Where a worker that reports here should go instead; null: it stays. New ones go where there is room as soon as we have
- * a little more than our share; those that are here already when we have far more (the others may have been away), or
- * when we fall behind and another does not. Pure.
- */
-export function chooseServer(facts: {
-  node: string;
-  leader: string | null;
-  /** Of a controller's share of the workers, the leader's. */
-  leaderShare: number;
-  lagMs: number;
-  isKnown: boolean;
-  servers: Grant["servers"];
-  /** The worker's. */
-  zone: string;
-  zoneOf: (node: string) => string;
-}): string | null {
-  // In their own zone, where there are controllers, so that a cut between zones takes nobody's controller away.
-  const near = facts.servers.filter((h) => facts.zoneOf(h.node) === facts.zone);
-  const servers = near.length > 0 ? near : facts.servers;
-  const share = (node: string): number => (node === facts.leader ? facts.leaderShare : 1);
-  let total = 0;
-  let weight = 0;
-  let mine: Grant["servers"][number] | null = null;
-  let best: Grant["servers"][number] | null = null;
-  for (const h of servers) {
-    total += h.machines;
-    weight += share(h.node);
-    if (h.node === facts.node) mine = h;
-    else if (h.lagMs <= SLOW_MS && (!best || h.machines / share(h.node) < best.machines / share(best.node)))
-      best = h;
-  }
-  if (best && near.length > 0 && facts.zoneOf(facts.node) !== facts.zone) return best.node;
-  if (!best || !mine) return null;
-  const fair = total / weight;
-  if (facts.lagMs > SLOW_MS) return facts.lagMs >= best.lagMs * 3 ? best.node : null;
-  const heavy =
-    mine.machines > fair * share(mine.node) * (facts.isKnown ? 1.5 : 1.1) + (facts.isKnown ? 10 : 3);
-  return heavy && best.machines < fair * share(best.node) * 0.97 ? best.node : null;
-}
-
 /** Older than a report that the worker has sent since, or the same once more. Pure. */
 export function isLateCopy(known: { session: number; tick: number }, report: Report): boolean {
   return report.session < known.session || (report.session === known.session && report.tick <= known.tick);
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,4 +1,3 @@
-import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { keys } from "./bookkeeping/records.js";
 import { JobFeed } from "./bookkeeping/jobFeed.js";
@@ -239,12 +238,10 @@
     }
   }
 
-  /**
-   * A peer's host refuses links. Alone among others that stand, its process is probably over; when all links are
-   * refused at once, it is the links.
-   */
+  /** A link to a peer has closed and its host refuses a new one; so many links to other peers stand. */
   onPeerRefused(peer: string, standing: number): void {
-    if (standing > 0 || this.platform.peers.length === 1) this.elector.tell({ kind: "refused", peer });
+    const othersReachable = standing > 0 || this.platform.peers.length === 1;
+    this.elector.tell({ kind: "refused", peer, othersReachable });
   }
 
   /**
@@ -303,6 +300,14 @@
   }
 }
 
+/**
+ * Tells this process from others of the same controller: no secret, just never the same twice. Two draws of V8's generator,
+ * which each process seeds anew, spare the start `node:crypto`, a fifteenth of its processor time.
+ */
+function processIdentity(random: () => number): string {
+  return [random(), random()].map((part) => Math.floor(part * 2 ** 48).toString(16)).join("-");
+}
+
 export interface Running {
   stop(): void;
 }
@@ -330,7 +335,7 @@
     cloud: cloudHttp,
     workers: workerHttp,
     peers: links,
-    life: randomBytes(8).toString("hex"),
+    life: processIdentity(Math.random),
     random: Math.random,
   });
   await links.start();
--- a/src/transport/mailbox.ts
+++ b/src/transport/mailbox.ts
@@ -1,3 +1,6 @@
+/** Runs what follows it once the present turn's code is through; `queueMicrotask` makes a resource for each call. */
+const settled = Promise.resolve();
+
 /**
  * The one mailbox that actors are spoken to through. Messages are handled one at a time, in order,
  * never inside the sender's own turn, so an actor's state is only touched by itself.
@@ -5,12 +8,13 @@
 export abstract class Actor<M> {
   private readonly queue: M[] = [];
   private scheduled = false;
+  private readonly drainAll = (): void => this.drain();
 
   tell(message: M): void {
     this.queue.push(message);
     if (!this.scheduled) {
       this.scheduled = true;
-      queueMicrotask(() => this.drain());
+      void settled.then(this.drainAll);
     }
   }
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -258,7 +258,11 @@
     for (const [other, node] of this.nodes) {
       if (other === name) continue;
       this.net.carry(`${name}:80`, `${other}:80`, () => {
-        if (node.alive) node.controller.onPeerRefused(name, 1);
+        if (!node.alive) return;
+        const standing = this.names.filter(
+          (n) => n !== other && n !== name && this.nodes.get(n)!.alive,
+        ).length;
+        node.controller.onPeerRefused(name, standing);
       });
     }
   }
--- a/test/leaseExpiry.test.ts
+++ b/test/leaseExpiry.test.ts
@@ -7,7 +7,7 @@
 import { ConfirmedCancellations } from "../src/coordination/reports/confirmedCancellations.js";
 import type { JobSpec } from "../src/protocol/model.js";
 import type { ReportServerUpdate } from "../src/protocol/peers.js";
-import { chooseServer } from "../src/coordination/reports/reportServer.js";
+import { chooseServer } from "../src/coordination/reports/workerBalancer.js";
 import { ReportServerRegistry } from "../src/coordination/reports/reportServerRegistry.js";
 import {
   absenceProves,
@@ -80,12 +80,20 @@
 });
 
 test("the records of leadership are read as a whole", () => {
-  const view = readLeadership([
-    { key: "lead/hold", value: { n: 4, node: "n1", life: "x", lease: 9 }, version: 12 },
-    { key: "lead/term", value: { n: 4, node: "n1" }, version: 11 },
-  ]);
-  assert.deepEqual(view, { termVersion: 11, term: 4, record: { term: 4, node: "n1", life: "x", lease: 9 } });
-  assert.deepEqual(readLeadership([]), { termVersion: 0, term: 0, record: null });
+  const view = readLeadership(
+    [
+      { key: "lead/hold", value: { n: 4, node: "n1", life: "x", lease: 9 }, version: 12 },
+      { key: "lead/term", value: { n: 4, node: "n1" }, version: 11 },
+    ],
+    12,
+  );
+  assert.deepEqual(view, {
+    revision: 12,
+    termVersion: 11,
+    term: 4,
+    record: { term: 4, node: "n1", life: "x", lease: 9 },
+  });
+  assert.deepEqual(readLeadership([], 9), { revision: 9, termVersion: 0, term: 0, record: null });
 });
 
 test("a lease is over only when nobody can have renewed it, whoever serves the worker", () => {
--- /dev/null
+++ b/test/takeover.test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import test, { describe } from "node:test";
+import { LeaderSuspicion, type LeadershipRead } from "../src/coordination/leadership/leaderSuspicion.js";
+import { World } from "./fakes/world.js";
+
+const LEADER: Omit<LeadershipRead, "revision"> = { leader: "n1", term: 4 };
+
+interface SuspicionCase {
+  name: string;
+  othersReachable: boolean;
+  /** Time since the refusal, what was read, and whether the leader is taken for over then. */
+  reads: [atMs: number, read: LeadershipRead, over: boolean][];
+}
+
+const cases: SuspicionCase[] = [
+  {
+    name: "links to others stand: at the first read",
+    othersReachable: true,
+    reads: [[5, { ...LEADER, revision: 70 }, true]],
+  },
+  {
+    name: "all hosts refuse and nothing is written: at the second read",
+    othersReachable: false,
+    reads: [
+      [5, { ...LEADER, revision: 70 }, false],
+      [505, { ...LEADER, revision: 70 }, true],
+    ],
+  },
+  {
+    name: "all hosts refuse and somebody writes: not yet",
+    othersReachable: false,
+    reads: [
+      [5, { ...LEADER, revision: 70 }, false],
+      [505, { ...LEADER, revision: 73 }, false],
+      [1005, { ...LEADER, revision: 73 }, true],
+    ],
+  },
+  {
+    name: "the suspected one leads a later term: it lives",
+    othersReachable: true,
+    reads: [
+      [5, { ...LEADER, term: 5, revision: 70 }, false],
+      [505, { ...LEADER, revision: 70 }, false],
+    ],
+  },
+  {
+    name: "another leads by now",
+    othersReachable: false,
+    reads: [
+      [5, { leader: "n2", term: 5, revision: 70 }, false],
+      [505, { leader: "n2", term: 5, revision: 70 }, false],
+    ],
+  },
+  {
+    name: "a suspicion of long ago says nothing",
+    othersReachable: true,
+    reads: [[4500, { ...LEADER, revision: 70 }, false]],
+  },
+];
+
+/** Guards against a live leader's lease being ended again and again when only the links are refused. */
+describe("a leader whose host refuses connections is taken for over", () => {
+  for (const { name, othersReachable, reads } of cases)
+    test(name, () => {
+      const suspicion = new LeaderSuspicion();
+      suspicion.raise(LEADER.leader, LEADER.term, othersReachable, 1000);
+      for (const [atMs, read, over] of reads) assert.equal(suspicion.confirmedBy(read, 1000 + atMs), over);
+    });
+
+  test("nobody is, without a refusal", () => {
+    assert.equal(new LeaderSuspicion().confirmedBy({ ...LEADER, revision: 1 }, 5), false);
+  });
+});
+
+/**
+ * On the smallest controllers the sole survivor of a crash waited 4 s for the leadership lease, and the workers' leases of
+ * 12 s ran out before it and the returning ones had answered them all.
+ */
+test("the sole survivor of a crash of all other controllers leads within two seconds", async () => {
+  const world = new World(7, { size: 5 });
+  await world.run(10);
+  const old = world.leader!;
+  const survivor = world.names.find((name) => name !== old)!;
+  for (const name of world.names) if (name !== survivor) world.crash(name, 5000);
+  await world.run(2);
+  assert.equal(world.leader, survivor);
+  await world.run(20);
+  assert.deepEqual(world.broken, []);
+});
