--- a/src/coordination/leadership/election.ts
+++ b/src/coordination/leadership/election.ts
@@ -5,7 +5,7 @@
 import type { Clock, Timer } from "../../transport/clock.js";
 import { Actor } from "../../transport/mailbox.js";
 import { log } from "../../transport/log.js";
-import { LeaderSuspicion } from "./leaderSuspicion.js";
+import { LeaderSuspicion, SHOW_LIFE_MS, SUSPICION_MS } from "./leaderSuspicion.js";
 import { leadershipLeaseUntilMs } from "./leaseExpiry.js";
 
 /** What the leader may do, and until when by its own steady clock. */
@@ -68,7 +68,8 @@
   | { kind: "peer"; message: PeerMessage }
   | { kind: "deposed"; term: number }
   | { kind: "behind"; term: number }
-  | { kind: "refused"; peer: string; othersReachable: boolean };
+  | { kind: "refused"; peer: string; othersReachable: boolean }
+  | { kind: "show life" };
 
 /** A renewal without an answer is tried again after this. */
 const RENEW_MS = 1300;
@@ -139,6 +140,8 @@
   private stopped = false;
   private standBackUntilMs = -Infinity;
   private readonly suspicion = new LeaderSuspicion();
+  /** Until then we show, as leader, that we live. */
+  private showLifeUntilMs = -Infinity;
 
   constructor(private readonly options: ElectionOptions) {
     super();
@@ -163,7 +166,7 @@
         this.probe();
         break;
       case "probed":
-        this.probed(message.view);
+        this.probed(message.view, message.sentMs);
         break;
       case "campaigned":
         this.campaigned(message.won);
@@ -178,17 +181,10 @@
         if (this.ownTerm && this.ownTerm.term === message.term) this.resign("a later term has begun");
         break;
       case "refused":
-        // Only a suspicion (a node without free sockets refuses, too), so nothing is concluded from it but that a new
-        // term may begin early: what the old leader may still do is as bounded as ever, by guards, tokens and times.
-        if (message.peer === this.leader && !this.ownTerm) {
-          this.suspicion.raise(
-            message.peer,
-            this.leaderTerm,
-            message.othersReachable,
-            this.options.clock.nowMs(),
-          );
-          this.probeAfter(0);
-        }
+        this.peerRefused(message.peer, message.othersReachable);
+        break;
+      case "show life":
+        this.showLife();
         break;
       case "behind":
         if (this.ownTerm && this.ownTerm.term === message.term) {
@@ -225,7 +221,7 @@
     }
   }
 
-  private probed(view: LeadershipView | null): void {
+  private probed(view: LeadershipView | null, sentMs: number): void {
     this.requestInFlight = false;
     if (!view) {
       this.probeAfter(this.options.probeMs);
@@ -236,7 +232,7 @@
     this.setLeader(view.record ? view.record.node : null, view.record?.term ?? 0);
     if (view.record) {
       const { node, term } = view.record;
-      const read = { leader: node, term, revision: view.revision };
+      const read = { leader: node, term, revision: view.revision, sentMs };
       if (this.suspicion.confirmedBy(read, this.options.clock.nowMs())) {
         this.endLease(view.record, `${node} refuses connections`);
         return;
@@ -255,6 +251,41 @@
     this.probeAfter(this.options.probeMs);
   }
 
+  /**
+   * Only a suspicion (a node without free sockets refuses, too), so nothing is concluded from it but that a new term may
+   * begin early: what the old leader may still do is as bounded as ever, by guards, tokens and times.
+   */
+  private peerRefused(peer: string, othersReachable: boolean): void {
+    const now = this.options.clock.nowMs();
+    if (this.ownTerm) {
+      // The others see us refuse as well, and may take us for over.
+      if (othersReachable) return;
+      const showing = now < this.showLifeUntilMs;
+      this.showLifeUntilMs = now + SUSPICION_MS;
+      if (!showing) this.showLife();
+    } else if (peer === this.leader) {
+      this.suspicion.raise(peer, this.leaderTerm, othersReachable, now);
+      this.probeAfter(0);
+    }
+  }
+
+  /**
+   * Writes our leadership record anew, now and a few times more. A leader that happened to write nothing while links
+   * between controllers were refused lost its lease to the others, and 50 workers theirs with it.
+   */
+  private showLife(): void {
+    const { clock, state, node, life } = this.options;
+    const now = clock.nowMs();
+    if (!this.ownTerm || now >= this.showLifeUntilMs) return;
+    const { term, termVersion, lease } = this.ownTerm;
+    void state.commit(
+      [{ key: keys.term, version: termVersion }],
+      [{ put: keys.hold, value: { n: term, node, life, lease }, lease }],
+      now + SHOW_LIFE_MS,
+    );
+    clock.after(SHOW_LIFE_MS, () => this.tell({ kind: "show life" }));
+  }
+
   private endLease(record: LeadershipRecord, reason: string): void {
     this.requestInFlight = true;
     log.info(`ending the lease of term ${record.term}: ${reason}`);
--- a/src/coordination/leadership/leaderSuspicion.ts
+++ b/src/coordination/leadership/leaderSuspicion.ts
@@ -4,7 +4,11 @@
  */
 
 /** A suspicion that nothing has confirmed for so long is dropped; the leadership lease has ended or been renewed by then. */
-const SUSPICION_MS = 4000;
+export const SUSPICION_MS = 4000;
+/** A leader that sees all hosts refuse writes this often meanwhile. */
+export const SHOW_LIFE_MS = 300;
+/** Nothing written for so long, though the leader would show its life: it does not live. */
+const QUIET_MS = 450;
 
 /** What one read of the state service says of the leadership. */
 export interface LeadershipRead {
@@ -12,6 +16,7 @@
   term: number;
   /** The state service's revision: counts every change, whoever made it. */
   revision: number;
+  sentMs: number;
 }
 
 interface Suspicion {
@@ -20,8 +25,8 @@
   /** Links to other controllers stand, so that it is not our own links that are refused. */
   othersReachable: boolean;
   sinceMs: number;
-  /** The revision at the last read since; null: none yet. */
-  revision: number | null;
+  /** The newest revision read since, and when it came in first; null: none yet. */
+  newest: { revision: number; receivedMs: number } | null;
 }
 
 export class LeaderSuspicion {
@@ -29,7 +34,7 @@
 
   /** A link to the leader has closed, and its host refuses a new one. */
   raise(leader: string, term: number, othersReachable: boolean, nowMs: number): void {
-    this.suspicion = { leader, term, othersReachable, sinceMs: nowMs, revision: null };
+    this.suspicion = { leader, term, othersReachable, sinceMs: nowMs, newest: null };
   }
 
   /**
@@ -46,8 +51,11 @@
       this.suspicion = null;
       return false;
     }
-    const confirmed = suspicion.othersReachable || read.revision === suspicion.revision;
-    suspicion.revision = read.revision;
+    const { newest } = suspicion;
+    const nothingWritten =
+      newest !== null && read.revision === newest.revision && read.sentMs - newest.receivedMs >= QUIET_MS;
+    if (newest?.revision !== read.revision) suspicion.newest = { revision: read.revision, receivedMs: nowMs };
+    const confirmed = suspicion.othersReachable || nothingWritten;
     if (confirmed) this.suspicion = null;
     return confirmed;
   }
