--- a/src/coordination/reports/reportServer.ts
+++ b/src/coordination/reports/reportServer.ts
@@ -48,6 +48,8 @@
   toNeighbour: (node: string, message: PeerMessage) => void;
   /** To the leader beside us, while it leads. */
   toLeaderHere: (serving: ReportServerUpdate) => void;
+  /** For the first time in this process, reports may be acknowledged. */
+  onFirstRight: () => void;
   /** A worker has seen the token of a later term. */
   onLaterTerm: (term: number) => void;
   lagMs: () => number;
@@ -108,6 +110,7 @@
   private limitMs = -Infinity;
   private quarantined = new Set<string>();
   private readonly confirmedCancellations: ConfirmedCancellations;
+  private hadRight = false;
   private flushSet = false;
   private timer: Timer | null = null;
   private stopped = false;
@@ -219,6 +222,13 @@
     this.zoneUntilMs = Math.max(this.zoneUntilMs, limits.zoneUntilMs);
     this.quarantined = new Set(limits.quarantined);
     this.confirmedCancellations.acknowledgedUpTo(limits.cancellationSeq);
+    this.noteRight();
+  }
+
+  private noteRight(): void {
+    if (this.hadRight || this.options.clock.nowMs() >= this.untilMs()) return;
+    this.hadRight = true;
+    this.options.onFirstRight();
   }
 
   private resync(): void {
@@ -256,6 +266,7 @@
     this.confirmedCancellations.acknowledgedUpTo(grant.cancellationSeq);
     this.quarantined = new Set(grant.quarantined);
     this.balancer.setServers(grant.servers);
+    this.noteRight();
   }
 
   private report(report: Report, reply: (answer: Answer) => void): void {
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -20,6 +20,9 @@
 const MIN_CYCLE_GAP_MS = 50;
 const CYCLE_GAP_FACTOR = 10;
 const MAX_CYCLE_GAP_MS = 400;
+/** A leader whose timers are this late has more pressing work waiting, and pauses for longer after a long cycle. */
+const BEHIND_MS = 200;
+const MAX_CYCLE_GAP_BEHIND_MS = 1500;
 /** Targets that are at least so many times apart leave a long time in which a job is nobody's concern. */
 const FAR_APART = 2.5;
 /** A job is late from this part of its class's loosest target on. */
@@ -77,10 +80,8 @@
       entries.push(this.entry(job, guaranteed.has(job), now));
     }
     if (entries.length > 0) this.place(entries, guaranteed, now);
-    // Whatever else there is to do gets its turn between two cycles.
     const endMs = this.options.clock.nowMs();
-    this.nextCycleMs =
-      endMs + Math.min(MAX_CYCLE_GAP_MS, Math.max(MIN_CYCLE_GAP_MS, (endMs - now) * CYCLE_GAP_FACTOR));
+    this.nextCycleMs = endMs + cycleGapMs(endMs - now, this.options.lagMs());
   }
 
   private place(entries: QueueEntry[], guaranteed: Set<Job>, now: number): void {
@@ -437,6 +438,16 @@
   return out;
 }
 
+/**
+ * The pause after a cycle: whatever else there is to do gets its turn then. On a small share of a core a cycle takes half a
+ * second; with pauses of 400 ms at the most, a new leader spent most of its share on cycles while workers' leases ran
+ * out. Pure.
+ */
+export function cycleGapMs(lengthMs: number, lagMs: number): number {
+  const longestMs = lagMs > BEHIND_MS ? MAX_CYCLE_GAP_BEHIND_MS : MAX_CYCLE_GAP_MS;
+  return Math.min(longestMs, Math.max(MIN_CYCLE_GAP_MS, lengthMs * CYCLE_GAP_FACTOR));
+}
+
 /**
  * What began out of turn goes on for a while: stopped for higher work again and again within seconds, a job of the lowest
  * priority would never have begun in its users' eyes. Pure.
--- a/src/service.ts
+++ b/src/service.ts
@@ -29,6 +29,8 @@
 /** A leadership lease shorter than this would be lost to a slow answer now and then. */
 const LEADERSHIP_LEASE_MS = 4000;
 const PROBE_MS = 500;
+/** A new process serves workers and users after this at the latest, with or without a right to acknowledge reports. */
+const START_WAIT_MS = 2500;
 const DIRECT_MS = 3000;
 /** Reads for questions are no closer together than this. */
 const READ_EVERY_MS = 250;
@@ -61,6 +63,8 @@
   private readonly limiter: RequestLimiter;
   private leaderServedMs = -Infinity;
   private stopped = false;
+  /** Resolves once reports may be acknowledged here. */
+  private readonly firstRight: Promise<void>;
 
   constructor(
     private readonly platform: Platform,
@@ -126,6 +130,8 @@
         for (const peer of others) send(peer, { kind: "task counts", from: platform.node, term, jobs });
       },
     });
+    let onFirstRight = (): void => undefined;
+    this.firstRight = new Promise((resolve) => (onFirstRight = resolve));
     this.reportServer = new ReportServer({
       node: platform.node,
       zone: platform.zone,
@@ -140,6 +146,7 @@
       toLeader: send,
       toNeighbour: send,
       toLeaderHere: (serving) => this.leader.tell({ kind: "report server update", serving }),
+      onFirstRight,
       onLaterTerm: (term) => this.elector.tell({ kind: "deposed", term }),
       lagMs,
     });
@@ -178,6 +185,17 @@
     this.cloud.tell({ kind: "stop" });
   }
 
+  /** Resolves once reports may be acknowledged here, or after that time. */
+  mayServe(withinMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.out.clock.after(withinMs, resolve);
+      void this.firstRight.then(() => {
+        timer.cancel();
+        resolve();
+      });
+    });
+  }
+
   /** A node that doesn't lead learns the machine types from the state service, where a leader put them. */
   private learnTypes(round: number): void {
     if (this.typesKnown || this.stopped) return;
@@ -339,6 +357,11 @@
     random: Math.random,
   });
   await links.start();
+  running.start();
+  // Until it has a leader's grant a new process could only turn workers away. After a crash of all controllers hundreds of
+  // them come to it each second: refused by the kernel they cost it nothing, answered they took the time that the grant
+  // needed.
+  await running.mayServe(START_WAIT_MS);
   const server: Server = await startHttpServer({
     listen: platform.listen,
     maxBody: MAX_BODY,
@@ -347,7 +370,6 @@
     handler: (request, reply) => running.onRequest(request, reply),
     onError,
   });
-  running.start();
   log.info(`serving on ${platform.listen}, peers on ${platform.peerListen}`);
   return {
     stop: () => {
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { serveOrder, targetsS, type QueueEntry } from "../src/coordination/scheduling/queue.js";
+import { cycleGapMs } from "../src/coordination/scheduling/scheduler.js";
 import type { Job } from "../src/bookkeeping/jobs.js";
 
 let since = 0;
@@ -127,3 +128,19 @@
   assert.deepEqual(targetsS("b", null, objectives), [200, 300]);
   assert.deepEqual(targetsS("c", 10, objectives), [10]);
 });
+
+/** Guards the workers' leases: acknowledgements and grants have their turn between two scheduling cycles. */
+test("a leader that is behind pauses for longer between scheduling cycles", () => {
+  const cases: [lengthMs: number, lagMs: number, gapMs: number][] = [
+    [0, 0, 50],
+    [2, 0, 50],
+    [20, 0, 200],
+    [500, 0, 400],
+    [500, 150, 400],
+    [2, 900, 50],
+    [20, 900, 200],
+    [120, 900, 1200],
+    [500, 900, 1500],
+  ];
+  for (const [lengthMs, lagMs, gapMs] of cases) assert.equal(cycleGapMs(lengthMs, lagMs), gapMs);
+});
