--- a/src/service.ts
+++ b/src/service.ts
@@ -135,10 +135,7 @@
     this.reportServer = new ReportServer({
       node: platform.node,
       zone: platform.zone,
-      zones: new Map([
-        [platform.node, platform.zone],
-        ...platform.peers.map((p): [string, string] => [p.name, p.zone]),
-      ]),
+      zones: controllerZones(platform),
       life: Math.floor(out.random() * 2 ** 47),
       clock,
       reportS: platform.reportS,
@@ -318,6 +315,11 @@
   }
 }
 
+/** Each controller's zone, ours included. */
+function controllerZones({ node, zone, peers }: Platform): ReadonlyMap<string, string> {
+  return new Map([[node, zone], ...peers.map((peer): [string, string] => [peer.name, peer.zone])]);
+}
+
 /**
  * Tells this process from others of the same controller: no secret, just never the same twice. Two draws of V8's generator,
  * which each process seeds anew, spare the start `node:crypto`, a fifteenth of its processor time.
