--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -274,6 +274,11 @@
     await this.clock.advance(seconds * 1000);
   }
 
+  /** The process that stands for that controller at present. */
+  controllerOf(name: string): Controller {
+    return this.nodes.get(name)!.controller;
+  }
+
   /** A link that comes in at that node, from wherever. */
   link(name: string): (frame: Buffer) => string | null {
     return this.nodes.get(name)!.controller.onLink();
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -109,3 +109,46 @@
   await world.run(20);
   assert.deepEqual(world.broken, []);
 });
+
+/** Until it serves, the kernel refuses connections: neither workers nor users wait for a process that can't answer them. */
+describe("a new process serves workers and users", () => {
+  const WITHIN_MS = 2500;
+  async function servedAfterMs(world: World, name: string): Promise<number> {
+    const bootedMs = world.clock.nowMs();
+    let servedMs = Infinity;
+    void world
+      .controllerOf(name)
+      .mayServe(WITHIN_MS)
+      .then(() => (servedMs = world.clock.nowMs()));
+    await world.run(4);
+    return servedMs - bootedMs;
+  }
+
+  test("as soon as it has the leader's grant", async () => {
+    const world = new World(9);
+    await world.run(5);
+    const name = world.names.find((n) => n !== world.leader)!;
+    world.crash(name, 500);
+    await world.run(0.501);
+    const afterMs = await servedAfterMs(world, name);
+    assert.ok(afterMs > 0 && afterMs < 1200, `after ${afterMs} ms`);
+  });
+
+  test("as soon as it leads and has read the records", async () => {
+    const world = new World(9, { size: 1 });
+    await world.run(5);
+    world.crash("n0", 500);
+    await world.run(0.501);
+    const afterMs = await servedAfterMs(world, "n0");
+    assert.ok(afterMs > 0 && afterMs < 1200, `after ${afterMs} ms`);
+  });
+
+  test("after a while, when there is no leader to be had", async () => {
+    const world = new World(9);
+    await world.run(5);
+    world.state.outage(20_000);
+    for (const name of world.names) world.crash(name, 500);
+    await world.run(0.501);
+    assert.equal(await servedAfterMs(world, "n1"), WITHIN_MS);
+  });
+});
