Read-through: one leadership record, one read of it; a stopped elector shows no life

The record that names the leader was written out in campaign() and again in showLife(); the read with its null case stood twice, too. A leader that showed its life went on after stop(), which real processes can't, but fakes could. The mailbox needs no wrapper around its drain.

--- a/src/coordination/leadership/election.ts
+++ b/src/coordination/leadership/election.ts
@@ -1,4 +1,4 @@
-import type { StateClient, Item } from "../../bookkeeping/stateClient.js";
+import type { Change, Item, StateClient } from "../../bookkeeping/stateClient.js";
 import { keys } from "../../bookkeeping/records.js";
 import { asCount, asObject, asText } from "../../protocol/checks.js";
 import type { PeerMessage } from "../../protocol/peers.js";
@@ -73,6 +73,8 @@
 
 /** A renewal without an answer is tried again after this. */
 const RENEW_MS = 1300;
+/** So long a read of the leadership may take. */
+const READ_MS = 1500;
 /** How long an extension counts, from when it was asked for. */
 export const EXTENSION_MS = 2000;
 /** A peer confirms an extension only if it was refused this recently, and served no later than that. */
@@ -211,16 +213,22 @@
         .renewLease(lease, sentMs + RENEW_MS)
         .then((outcome) => this.tell({ kind: "renewed", term, outcome, sentMs }));
     } else {
-      void this.options.state.list(keys.lead, sentMs + 1500).then((list) => {
-        this.tell({
-          kind: "probed",
-          view: list.kind === "ok" ? readLeadership(list.items, list.revision) : null,
-          sentMs,
-        });
-      });
+      void this.fetchLeadership(sentMs + READ_MS).then((view) => this.tell({ kind: "probed", view, sentMs }));
     }
   }
 
+  /** Null when the state service did not answer in time. */
+  private async fetchLeadership(deadlineMs: number): Promise<LeadershipView | null> {
+    const list = await this.options.state.list(keys.lead, deadlineMs);
+    return list.kind === "ok" ? readLeadership(list.items, list.revision) : null;
+  }
+
+  /** The record that names us leader of that term; it goes with the leadership lease. */
+  private leadershipRecordChange(term: number, lease: number): Change {
+    const { node, life } = this.options;
+    return { put: keys.hold, value: { n: term, node, life, lease }, lease };
+  }
+
   private probed(view: LeadershipView | null, sentMs: number): void {
     this.requestInFlight = false;
     if (!view) {
@@ -274,13 +282,13 @@
    * between controllers were refused lost its lease to the others, and 50 workers theirs with it.
    */
   private showLife(): void {
-    const { clock, state, node, life } = this.options;
+    const { clock, state } = this.options;
     const now = clock.nowMs();
-    if (!this.ownTerm || now >= this.showLifeUntilMs) return;
+    if (this.stopped || !this.ownTerm || now >= this.showLifeUntilMs) return;
     const { term, termVersion, lease } = this.ownTerm;
     void state.commit(
       [{ key: keys.term, version: termVersion }],
-      [{ put: keys.hold, value: { n: term, node, life, lease }, lease }],
+      [this.leadershipRecordChange(term, lease)],
       now + SHOW_LIFE_MS,
     );
     clock.after(SHOW_LIFE_MS, () => this.tell({ kind: "show life" }));
@@ -315,19 +323,14 @@
         ],
         [
           { put: keys.term, value: { n: term, node: this.options.node } },
-          {
-            put: keys.hold,
-            value: { n: term, node: this.options.node, life: this.options.life, lease },
-            lease,
-          },
+          this.leadershipRecordChange(term, lease),
         ],
         this.options.clock.nowMs() + 1500,
       );
       let revision = outcome.kind === "ok" ? outcome.revision : -1;
       if (outcome.kind === "unknown") {
         // Perhaps carried out: read, never guess.
-        const list = await this.options.state.list(keys.lead, this.options.clock.nowMs() + 1500);
-        const now = list.kind === "ok" ? readLeadership(list.items, list.revision) : null;
+        const now = await this.fetchLeadership(this.options.clock.nowMs() + READ_MS);
         if (
           now?.record?.life === this.options.life &&
           now.record.term === term &&
--- a/src/transport/mailbox.ts
+++ b/src/transport/mailbox.ts
@@ -8,13 +8,12 @@
 export abstract class Actor<M> {
   private readonly queue: M[] = [];
   private scheduled = false;
-  private readonly drainAll = (): void => this.drain();
 
   tell(message: M): void {
     this.queue.push(message);
     if (!this.scheduled) {
       this.scheduled = true;
-      void settled.then(this.drainAll);
+      void settled.then(this.drain);
     }
   }
 
@@ -23,7 +22,7 @@
   /** Called for an exception out of `handle`: one bad message must not end the process. */
   protected abstract failed(message: M, error: unknown): void;
 
-  private drain(): void {
+  private readonly drain = (): void => {
     this.scheduled = false;
     const batch = this.queue.splice(0);
     for (const message of batch) {
@@ -33,5 +32,5 @@
         this.failed(message, error);
       }
     }
-  }
+  };
 }
