--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -39,12 +39,19 @@
   }
 }
 
+/** A free port below the range from which the system takes the ports of outgoing connections. */
 async function freePort() {
-  const server = net.createServer();
-  await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = 15_000 + Math.floor(Math.random() * 15_000);
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
 
 /** The run command of the deploy file, split into the program and its arguments. */
