--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -12,6 +12,9 @@
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "../..");
 
+/** The platform starts a controller again about this long after its end. */
+const RESTART_AFTER_MS = 3000;
+
 /** Resolves after the time. */
 export function sleep(ms) {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -121,14 +124,12 @@
     node.process.on("exit", (code, signal) => this.handleExit(node, pid, { code, signal }));
   }
 
-  /** The platform starts a process again that has ended by itself. */
+  /** The platform starts a process again that has ended. */
   handleExit(node, pid, { code, signal }) {
     this.options.recorder.line(`${node.name}, process ${pid}, ended: code ${code}, signal ${signal}`);
-    if (node.isKilled || this.isStopping) return;
-    node.ownEnds = (node.ownEnds ?? 0) + 1;
     setTimeout(() => {
       if (!this.isStopping) this.startNode(node);
-    }, 3000).unref();
+    }, RESTART_AFTER_MS).unref();
   }
 
   startAll() {
@@ -144,8 +145,8 @@
     return newest.node;
   }
 
+  /** Kills the node; the platform starts it again after the time that the brief names. */
   kill(node) {
-    node.isKilled = true;
     node.process.kill("SIGKILL");
     this.options.recorder.line(`killed ${node.name}`);
   }
@@ -175,7 +176,8 @@
 
   stop() {
     this.isStopping = true;
-    for (const node of this.nodes) if (node.process?.exitCode === null) node.process.kill("SIGKILL");
+    for (const node of this.nodes)
+      if (node.process?.exitCode === null && node.process.signalCode === null) node.process.kill("SIGKILL");
     this.links.stop();
     if (!process.env.KEEP_LOGS) rmSync(this.folder, { recursive: true, force: true });
   }
