--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,7 +1,7 @@
 /**
  * An array of twelve tasks, each of which fills a machine; all end at the same time. With TROUBLE=1, connections between
  * controllers are refused around that time, and two machines that report to followers hang after it, for less than a lease.
- * Then a second array of twelve tasks needs the same twelve machines, of which the cloud has no more.
+ * Then twelve jobs of one task need the same twelve machines, of which the cloud has no more.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -22,7 +22,9 @@
 const WHEELIE = { name: "wheelie", cores: 4, gpus: 0, memoryGb: 32, cacheGb: 70, fetchGbPerS: 0.25 };
 const FLAVORS = [{ ...WHEELIE, price: 0.24, lowPrice: 0.06, bootS: 50, patches: ZONES }];
 const FIRST = submission("job-000001", { crew: "routing", spores: MACHINES, cores: 4.0, guessS: 8.0 });
-const SECOND = submission("job-000002", { crew: "routing", spores: MACHINES, cores: 4.0, guessS: 600.0 });
+const LATER_JOBS = Array.from({ length: MACHINES }, (_unused, index) =>
+  submission(`job-0001${String(index).padStart(2, "0")}`, { crew: "routing", cores: 4.0, guessS: 600.0 }),
+);
 
 let firstEndsAt = Infinity;
 
@@ -62,22 +64,27 @@
 }
 
 async function observe({ recorder, fleet, users }) {
-  if ((await users.submit(SECOND)).status !== 201) return COULD_NOT_RUN;
-  const submittedAt = Date.now();
-  while (Date.now() - submittedAt < MAX_WAIT_MS && fleet.running(SECOND.ref) < MACHINES) {
+  const acceptedAt = new Map();
+  for (const job of LATER_JOBS) {
+    if ((await users.submit(job)).status !== 201) return COULD_NOT_RUN;
+    acceptedAt.set(job.ref, Date.now());
+  }
+  const waiting = () => LATER_JOBS.filter(({ ref }) => fleet.running(ref) === 0);
+  const endAt = Date.now() + MAX_WAIT_MS;
+  let leastRoom = Infinity;
+  while (Date.now() < endAt && waiting().length > 0) {
     await sleep(5000);
-    for (const { ref } of [FIRST, SECOND]) await users.ask(ref);
-    recorder.sampled("seen", `${fleet.running(SECOND.ref)} tasks of ${SECOND.ref} run`);
+    for (const { ref } of [FIRST, ...waiting()]) await users.ask(ref);
+    if (waiting().length > 0) leastRoom = Math.min(leastRoom, fleet.machinesWithAtMost(0));
   }
   const first = (await users.ask(FIRST.ref)).body;
   recorder.line(`all tasks of ${FIRST.ref} have completed; its user is told ${JSON.stringify(first)}`);
-  for (const { ref, worker } of fleet.machines.values())
-    recorder.line(
-      `${ref}: ${[...worker.tasks.values()].map(({ spore, phase }) => `${spore} ${phase}`).join(" ") || "idle"}`,
-    );
-  const waiting = MACHINES - fleet.running(SECOND.ref);
-  recorder.line(`${waiting} tasks of ${SECOND.ref} have not started, and ${waiting} machines have room`);
-  return waiting > 0 ? BROKEN : HELD;
+  const late = waiting().filter(({ ref }) => Date.now() - acceptedAt.get(ref) >= MAX_WAIT_MS);
+  recorder.line(
+    `waiting for 90 s: ${late.map(({ ref }) => ref).join(" ") || "none"}; free machines at each look: ${leastRoom}`,
+  );
+  if (late.length === 0) return HELD;
+  return leastRoom > 0 ? BROKEN : COULD_NOT_RUN;
 }
 
 await runCase({
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,5 +1,5 @@
 /**
- * Thirty arrays of four long tasks, of which at most two may be in one zone. One zone has no capacity, so two tasks of each
+ * Fifteen arrays of four long tasks, of which at most two may be in one zone. One zone has no capacity, so two tasks of each
  * run in the other zone, whose name contains a space, and two wait. With TROUBLE=1 the leader then crashes.
  */
 import { dirname } from "node:path";
@@ -10,7 +10,7 @@
 
 const FULL_ZONE = "redcliffe";
 const OPEN_ZONE = "deception bay";
-const JOBS = 30;
+const JOBS = 15;
 const TASKS = 4;
 const MAX_IN_ZONE = Math.ceil(TASKS / 2);
 /** Longer than a lease, so that all machines have reported to the new leader. */
@@ -69,7 +69,7 @@
   clusterZones: [FULL_ZONE, OPEN_ZONE],
   fleet: {
     flavors: FLAVORS,
-    capacity: (_breed, patch) => (patch === FULL_ZONE ? 0 : 60),
+    capacity: (_breed, patch) => (patch === FULL_ZONE ? 0 : 32),
     bootMs: () => 800,
     runMs: () => 600_000,
   },
--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -9,7 +9,8 @@
 /**
  * Options: `flavors` as in GET /flavors; `capacity(breed, patch, windfall)` is how many such machines may exist at once;
  * `bootMs(breed)`; `listLagMs`; `workers`: the settings; `controllers`: `{ name, address }`; `runMs(spore)`: a task's run
- * time, Infinity for a replica; `record(kind, detail)`.
+ * time, Infinity for a replica; `record(kind, detail)`;
+ * `recordRun(text)`.
  */
 export class Fleet {
   constructor(options) {
@@ -111,12 +112,23 @@
     const machines = this.tasksOn.get(spore) ?? new Set();
     this.tasksOn.set(spore, machines.add(ref));
     this.starts.push({ at: Date.now(), spore, ref });
+    this.options.recordRun(`${spore} runs on ${ref}`);
   }
 
   taskLeft(spore, ref) {
+    this.options.recordRun(`${spore} has left ${ref}${this.completed.has(spore) ? ", completed" : ""}`);
     this.tasksOn.get(spore)?.delete(ref);
   }
 
+  /** Number of machines that are up and have at most `tasks` tasks on them that have not exited. */
+  machinesWithAtMost(tasks) {
+    let count = 0;
+    for (const { worker } of this.machines.values())
+      if (worker && [...worker.tasks.values()].filter(({ phase }) => phase !== "exited").length <= tasks)
+        count++;
+    return count;
+  }
+
   /** Number of the job's tasks that are on machines now. */
   running(job) {
     let count = 0;
--- a/review/standins/httpJson.mjs
+++ b/review/standins/httpJson.mjs
@@ -29,7 +29,7 @@
   let reply;
   if (size > MAX_BODY_BYTES) reply = { status: 400, body: { error: "body larger than 64 KiB" } };
   else {
-    const url = new URL(request.url, "http://stand-in");
+    const url = new URL(request.url, "http://127.0.0.1");
     const body = parse(Buffer.concat(chunks).toString("utf8"));
     reply = await handler({
       method: request.method,
--- a/review/standins/runCase.mjs
+++ b/review/standins/runCase.mjs
@@ -20,7 +20,7 @@
 
 /**
  * Starts the stand-ins and three controllers, calls `play(world)` once all controllers are ready, and exits with its
- * result. `fleet` holds the options of the cloud and the workers; `zones` are those of the controllers; for `hasLinkProxies` see Deployment.
+ * result. `fleet` holds the options of the cloud and the workers; `zones` are those of the controllers; `settings` overrides tables; for `hasLinkProxies` see Deployment.
  */
 export async function runCase({
   folder,
@@ -28,16 +28,23 @@
   clusterZones,
   fleet: fleetOptions,
   hasLinkProxies = false,
-  state: stateOptions = {},
+  settings = {},
   play,
 }) {
   const recorder = new Recorder(folder);
   const record = (kind, detail) => recorder.sampled(kind, detail);
-  const state = new StateService({ limits: STATE, record, ...stateOptions });
+  const state = new StateService({ limits: settings.state ?? STATE, record });
   await state.start();
-  const fleet = new Fleet({ listLagMs: 8000, workers: WORKERS, controllers: [], record, ...fleetOptions });
+  const fleet = new Fleet({
+    listLagMs: 8000,
+    workers: settings.workers ?? WORKERS,
+    controllers: [],
+    record,
+    recordRun: (text) => recorder.line(text),
+    ...fleetOptions,
+  });
   await fleet.start();
-  const cluster = clusterTables({ size: zones.length, zones: clusterZones });
+  const cluster = clusterTables({ size: zones.length, zones: clusterZones, ...settings });
   const endpoints = { cloud: fleet.address, state: state.address };
   const deployment = new Deployment({ zones, cluster, endpoints, recorder, hasLinkProxies });
   const finish = (code) => {
@@ -48,7 +55,11 @@
     state.stop();
     process.exit(code);
   };
-  for (const signal of ["SIGINT", "SIGTERM"]) process.on(signal, () => finish(COULD_NOT_RUN));
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => finish(COULD_NOT_RUN));
+  process.on("uncaughtException", (error) => {
+    recorder.line(`the case failed: ${error.stack}`);
+    finish(COULD_NOT_RUN);
+  });
   setTimeout(() => finish(COULD_NOT_RUN), MAX_RUN_MS).unref();
   try {
     await deployment.prepare();
--- a/review/standins/settings.mjs
+++ b/review/standins/settings.mjs
@@ -1,4 +1,4 @@
-/** Settings like those of a small deployment (`mrws-collect-sched`), as the platform writes them. */
+/** Settings as the platform writes them: those of `mrws-collect-sched`, and of `mrws-collect-sched-fleet`. */
 
 /** The limits of the state service. */
 export const STATE = { rps: 120.0, write_rps: 25.0, value_kb: 8.0, txn_ops: 20 };
@@ -11,6 +11,17 @@
   { name: "fleet-data", cpus: 112.0, cpus_max: 264.0, gpus: 8.0, gpus_max: 16.0 },
 ];
 
+/** The settings of `mrws-collect-sched-fleet` that differ. */
+export const FLEET_SETTINGS = {
+  state: { ...STATE, rps: 180.0, write_rps: 40.0 },
+  workers: { report_s: 2.5, lease_s: 15.25, gang_wait_s: 30.0, gang_peer_s: 6.0, cancel_s: 40.25 },
+  teams: [
+    { name: "calendars", cpus: 900.0, cpus_max: 3000.0, gpus: 40.0, gpus_max: 150.0 },
+    { name: "routing", cpus: 1200.0, cpus_max: 5000.0, gpus: 60.0, gpus_max: 250.0 },
+    { name: "fleet-data", cpus: 2500.0, cpus_max: 6000.0, gpus: 90.0, gpus_max: 300.0 },
+  ],
+};
+
 function table(fields) {
   return Object.entries(fields).map(
     ([name, value]) => `${name} = ${typeof value === "string" ? `"${value}"` : value}`,
--- a/review/standins/users.mjs
+++ b/review/standins/users.mjs
@@ -52,7 +52,9 @@
     while (Date.now() < endAt) {
       const address = this.nextAddress();
       reply = await callJson(address, { method: "POST", path, body, timeoutMs: SUBMIT_TIMEOUT_MS });
-      this.recorder.sampled(what, `${address} answered ${reply.status} ${JSON.stringify(reply.body)}`);
+      this.recorder.line(
+        `${what}: ${JSON.stringify(body)} to ${address}: ${reply.status} ${JSON.stringify(reply.body)}`,
+      );
       if ([200, 201, 400, 422].includes(reply.status)) return reply;
       await sleep(1000);
     }
@@ -70,7 +72,7 @@
   /** Asks once; `address` names the controller, if it matters. */
   async ask(ref, address = this.nextAddress()) {
     const reply = await callJson(address, { path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
-    this.recorder.sampled(`ask ${ref}`, `${address} answered ${reply.status} ${JSON.stringify(reply.body)}`);
+    this.recorder.line(`ask ${ref} at ${address}: ${reply.status} ${JSON.stringify(reply.body)}`);
     return reply;
   }
 }
