--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -15,6 +15,9 @@
 /** The platform starts a controller again about this long after its end. */
 const RESTART_AFTER_MS = 3000;
 
+/** The longest wait for killed controllers to end. */
+const MAX_END_MS = 1500;
+
 /** Resolves after the time. */
 export function sleep(ms) {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -42,10 +45,15 @@
   }
 }
 
-/** A free port below the range from which the system takes the ports of outgoing connections. */
+let lastPort = 15_000 + (process.pid % 150) * 100;
+
+/**
+ * A free port below the range from which the system takes the ports of outgoing connections. Cases that run at the same
+ * time begin at different ports.
+ */
 async function freePort() {
   for (;;) {
-    const port = 15_000 + Math.floor(Math.random() * 15_000);
+    const port = ++lastPort;
     const server = net.createServer();
     const isFree = await new Promise((resolve) => {
       server.once("error", () => resolve(false));
@@ -174,10 +182,16 @@
     }
   }
 
-  stop() {
+  /** Kills all controllers, and resolves once they have ended. */
+  async stop() {
     this.isStopping = true;
-    for (const node of this.nodes)
-      if (node.process?.exitCode === null && node.process.signalCode === null) node.process.kill("SIGKILL");
+    const ends = [];
+    for (const { process: child } of this.nodes) {
+      if (!child || child.exitCode !== null || child.signalCode !== null) continue;
+      ends.push(new Promise((resolve) => child.once("exit", resolve)));
+      child.kill("SIGKILL");
+    }
+    await Promise.race([Promise.all(ends), sleep(MAX_END_MS)]);
     this.links.stop();
     if (!process.env.KEEP_LOGS) rmSync(this.folder, { recursive: true, force: true });
   }
--- a/review/standins/runCase.mjs
+++ b/review/standins/runCase.mjs
@@ -15,7 +15,7 @@
 /** True unless the case is run with TROUBLE=0. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
-const MAX_RUN_MS = 118_000;
+const MAX_RUN_MS = 117_000;
 const READY_WITHIN_MS = 15_000;
 
 /**
@@ -47,29 +47,29 @@
   const cluster = clusterTables({ size: zones.length, zones: clusterZones, ...settings });
   const endpoints = { cloud: fleet.address, state: state.address };
   const deployment = new Deployment({ zones, cluster, endpoints, recorder, hasLinkProxies });
-  const finish = (code) => {
+  const finish = async (code) => {
     recorder.line(`exit code ${code}`);
     deployment.recordLogs(/ error |became leader|resigned/);
-    deployment.stop();
+    await deployment.stop();
     fleet.stop();
     state.stop();
     process.exit(code);
   };
-  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => finish(COULD_NOT_RUN));
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => void finish(COULD_NOT_RUN));
   process.on("uncaughtException", (error) => {
     recorder.line(`the case failed: ${error.stack}`);
-    finish(COULD_NOT_RUN);
+    void finish(COULD_NOT_RUN);
   });
-  setTimeout(() => finish(COULD_NOT_RUN), MAX_RUN_MS).unref();
+  setTimeout(() => void finish(COULD_NOT_RUN), MAX_RUN_MS).unref();
   try {
     await deployment.prepare();
     fleet.options.controllers.push(...deployment.controllers);
     deployment.startAll();
     const isReady = await deployment.waitUntilReady(READY_WITHIN_MS);
     const users = new Users({ controllers: deployment.controllers, recorder });
-    finish(isReady ? await play({ recorder, state, fleet, deployment, users }) : COULD_NOT_RUN);
+    await finish(isReady ? await play({ recorder, state, fleet, deployment, users }) : COULD_NOT_RUN);
   } catch (error) {
     recorder.line(`the case failed: ${error.stack}`);
-    finish(COULD_NOT_RUN);
+    void finish(COULD_NOT_RUN);
   }
 }
