--- a/review/standins-2/cloud.mjs
+++ b/review/standins-2/cloud.mjs
@@ -13,6 +13,8 @@
     this.pleas = new Map();
     this.lastMachine = 0;
     this.isDown = false;
+    /** Names of controllers that can't reach the cloud: they get no answer. */
+    this.silentTo = new Set();
     this.ports = new Map();
     this.servers = [];
     /** Called before a machine is deleted, with the controller that asked and the machine. */
@@ -34,6 +36,7 @@
 
   async serve(node, { method, url, body }) {
     await sleep(20);
+    if (this.silentTo.has(node)) return null;
     if (this.isDown) return TROUBLE;
     if (url.pathname === "/flavors")
       return {
--- a/review/standins-2/region.mjs
+++ b/review/standins-2/region.mjs
@@ -160,6 +160,7 @@
       const zone = nodeZones[index % nodeZones.length];
       this.controllers.push({ name, zone, port, workerPort: port, peerPort, peerPorts: {}, child: null });
     }
+    await this.beforeLaunch?.();
     for (const node of this.controllers) this.launch(node);
   }
 
--- a/review/standins-2/state.mjs
+++ b/review/standins-2/state.mjs
@@ -43,6 +43,8 @@
     this.lastHold = 0;
     /** Names of controllers that get 503; "all" for an outage. */
     this.refused = new Set();
+    /** Names of controllers that can't reach the service: they get no answer. */
+    this.silentTo = new Set();
     /** Milliseconds that an answer takes. */
     this.latencyMs = () => 2;
     this.ports = new Map();
@@ -76,7 +78,7 @@
 
   async serve(node, request) {
     await sleep(this.latencyMs(node, request));
-    if (request.tooLarge) return null;
+    if (request.tooLarge || this.silentTo.has(node)) return null;
     if (this.isRefused(node)) return TROUBLE;
     if (!this.requests.take(1)) return TOO_MANY;
     const { method, url, body } = request;
@@ -191,7 +193,7 @@
   /** Answers a watch if there are changes or its time is up; during an outage, it waits. */
   answerWatch(watch, isTimeUp) {
     if (!this.watches.has(watch)) return true;
-    if (this.isRefused(watch.node)) {
+    if (this.isRefused(watch.node) || this.silentTo.has(watch.node)) {
       if (isTimeUp) setTimeout(() => this.answerWatch(watch, true), 100);
       return false;
     }
--- a/review/standins-2/worker.mjs
+++ b/review/standins-2/worker.mjs
@@ -2,7 +2,7 @@
 import { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import { clearInterval, clearTimeout, setInterval, setTimeout } from "node:timers";
-import { MAX_BODY_BYTES, startServer, stopServer } from "./http.mjs";
+import { MAX_BODY_BYTES, sleep, startServer, stopServer } from "./http.mjs";
 
 const ANSWER_MS = 4000;
 
@@ -21,6 +21,10 @@
     this.isGone = false;
     /** Without the network: its reports reach nobody, and commands to it get no answer. */
     this.isCut = false;
+    /** The controllers that it can reach, null for all. */
+    this.reaches = null;
+    /** Whether commands get no answer, since those who send them can't reach it. */
+    this.isOutOfReach = false;
     this.target = Math.floor(Math.random() * region.controllers.length);
   }
 
@@ -80,14 +84,21 @@
     const bytes = Buffer.byteLength(JSON.stringify(body));
     if (bytes > MAX_BODY_BYTES) region.note(`${this.machine.ref}: its report has ${bytes} bytes`);
     const node = region.controllers[this.target];
-    const answer = await region.workerClient.call(node.workerPort, "POST", "/checkin", {
-      body,
-      timeoutMs: ANSWER_MS,
-    });
+    const answer = await this.send(node, body);
     this.isReporting = false;
     if (!this.isGone) this.apply(answer, sentAt, bloom);
   }
 
+  async send(node, body) {
+    if (!this.reaches || this.reaches.includes(node))
+      return this.region.workerClient.call(node.workerPort, "POST", "/checkin", {
+        body,
+        timeoutMs: ANSWER_MS,
+      });
+    await sleep(ANSWER_MS);
+    return { status: 0 };
+  }
+
   apply({ status, body }, sentAt, bloom) {
     const now = performance.now();
     if (this.isCut) return;
@@ -111,7 +122,7 @@
   }
 
   serve({ method, url, body, tooLarge }) {
-    if (this.isCut) return null;
+    if (this.isCut || this.isOutOfReach) return null;
     if (tooLarge) {
       this.region.note(`${this.machine.ref}: 413 to ${url.pathname} with ${tooLarge} bytes`);
       return null;
