--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -15,7 +15,7 @@
 /** kit/more/hunt/fkz-azonnali-hunt.toml */
 const SETTINGS = {
   ...{ nodes: 5, nodeZones: ZONES, zones: ZONES, reportS: 2.5, leaseS: 12, cancelS: 37 },
-  ...{ rps: 250, writeRps: 25, valueKb: 32, txnOps: 20, cloudRps: 4, listLagS: 10 },
+  ...{ rps: 250, writeRps: 25, valueKb: 32, txnOps: 20, cloudRps: 4, listLagS: 10, clockMs: 25 },
   teams: [{ name: "fizetes-uzem-1", cpus: 900, cpusMax: 10000, gpus: 100, gpusMax: 500 }],
 };
 const BREEDS = {
