A stored zone is read back whole, and one that nobody knows only lengthens a proof

Cause: a chunk's record names each machine as "name zone", and decodeChunk split that at every space. A new leader took the zone "pest kelet" for "pest", found none of the controllers in it (acknowledgementFacts), left their zone leases out of the proof that a lease has expired, and counted the tasks of spread jobs in a zone that does not exist.

Change: - bookkeeping/storedMachine.ts owns the stored form. The name ends where a known zone follows, so a zone may hold any character. The form is unchanged for names without a space, and earlier versions read it as before. A name with a space (also misread: the whole machine was lost then) is stored as a pair; what earlier versions wrote for it stays readable. - bookkeeping/knownZones.ts: a zone that neither the settings nor the cloud's list of types names, or that may be the first word that an earlier leader read and stored again, counts as unknown. So do zones on which a machine's records differ. - A machine in an unknown zone may be in any zone: all zone leases count for its lease (as before), and its tasks count in every zone for spread jobs (zoneTaskCapacity). - The cloud's list overrides a zone that was read from a record, until the worker reports.

Existing tests: decodeChunk takes the known zones now; its tests pass theirs and compare what they did before.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -3,6 +3,8 @@
  * of stored fields must not change; only this module uses them.
  */
 import type { JobSpec } from "../protocol/model.js";
+import type { KnownZones } from "./knownZones.js";
+import { decodeStoredMachine, encodeStoredMachine, type StoredMachine } from "./storedMachine.js";
 import {
   asNonNegativeNumber,
   asNonNegativeInteger,
@@ -102,12 +104,10 @@
 }
 
 /** An attempt that holds or may hold resources: it is planned, or started and not confirmed gone. */
-export interface AttemptRecord {
+export interface AttemptRecord extends StoredMachine {
   task: number;
   /** Attempt number, unique across all terms. */
   attempt: number;
-  machine: string;
-  zone: string;
 }
 
 /** The record of `TASKS_PER_CHUNK` consecutive tasks of a job. */
@@ -118,28 +118,31 @@
 }
 
 /**
- * Encodes the fields `d` (bitmap in base64), `m` (machines as "name zone") and `a` (attempts as [task, attempt, index
+ * Encodes the fields `d` (bitmap in base64), `m` (machines with their zones) and `a` (attempts as [task, attempt, index
  * into `m`]). Each machine is named once, so that a full chunk fits the smallest value size limit of the state store.
  */
 export function encodeChunk(record: ChunkRecord): unknown {
-  const machines: string[] = [];
+  const machines: unknown[] = [];
   const indexByName = new Map<string, number>();
   const attempts = record.attempts.map(({ task, attempt, machine, zone }) => {
     let index = indexByName.get(machine);
     if (index === undefined) {
       index = machines.length;
       indexByName.set(machine, index);
-      machines.push(`${machine} ${zone}`);
+      machines.push(encodeStoredMachine({ machine, zone }));
     }
     return [task, attempt, index];
   });
   return { d: Buffer.from(record.done).toString("base64"), m: machines, a: attempts };
 }
 
-/** Decodes a chunk; null if the value is not one or an attempt refers to a machine that is not listed. */
-export function decodeChunk(value: unknown): ChunkRecord | null {
+/**
+ * Decodes a chunk; null if the value is not one or an attempt refers to a machine that is not listed. A zone that is not
+ * among the known `zones` is decoded as `UNKNOWN_ZONE`.
+ */
+export function decodeChunk(value: unknown, zones: KnownZones): ChunkRecord | null {
   const stored = asObject(value);
-  const machines = asArray(stored?.m);
+  const machines = asArray(stored?.m)?.map((machine) => decodeStoredMachine(machine, zones));
   const list = asArray(stored?.a);
   if (!stored || !machines || !list || typeof stored.d !== "string") return null;
   const done = new Uint8Array(BITMAP_BYTES);
@@ -147,9 +150,9 @@
   const attempts: AttemptRecord[] = [];
   for (const entry of list) {
     const [task, attempt, index] = entry as [number, number, number];
-    const [machine, zone] = String(machines[index] ?? "").split(" ");
+    const machine = machines[index];
     if (!machine) return null;
-    attempts.push({ task, attempt, machine, zone: zone ?? "" });
+    attempts.push({ task, attempt, ...machine });
   }
   return { done, attempts };
 }
--- a/src/coordination/heartbeats/acknowledgementLimits.ts
+++ b/src/coordination/heartbeats/acknowledgementLimits.ts
@@ -3,6 +3,7 @@
  * cancelled task that no stop command reaches must end in time through the expiry of its worker's lease.
  */
 import type { Job, Machine } from "../../bookkeeping/workload.js";
+import { UNKNOWN_ZONE } from "../../protocol/model.js";
 import { log } from "../../transport/log.js";
 import { acknowledgementLimitMs } from "../term/acknowledgementLimit.js";
 import { GRANT_DURATION_MS } from "./heartbeatServerRegistry.js";
@@ -75,11 +76,11 @@
 
   /** Steady time until which a controller that is partitioned together with `zone` may acknowledge its workers. */
   zoneAcknowledgeUntilMs(zone: string): number {
-    // A machine whose zone is unknown ("") may be in this zone.
+    // A machine whose zone is unknown may be in this zone.
     return Math.min(
       this.acknowledgeUntilMs,
       this.zoneLimitsMs.get(zone) ?? Infinity,
-      this.zoneLimitsMs.get("") ?? Infinity,
+      this.zoneLimitsMs.get(UNKNOWN_ZONE) ?? Infinity,
     );
   }
 }
--- a/src/coordination/heartbeats/heartbeatServerRegistry.ts
+++ b/src/coordination/heartbeats/heartbeatServerRegistry.ts
@@ -1,4 +1,5 @@
 /** The leader's registry of the controllers that acknowledge heartbeats under its grants. */
+import { UNKNOWN_ZONE } from "../../protocol/model.js";
 import type { Grant, HeartbeatServerUpdate } from "../../protocol/peers/messages.js";
 import { CLOCK_DRIFT } from "../term/clockDrift.js";
 import type { HeartbeatServerFacts } from "../term/leaseProofs.js";
@@ -131,7 +132,7 @@
   }
 
   /**
-   * What each controller may have acknowledged for a worker of `zone` (an empty string means unknown, so any zone). A
+   * What each controller may have acknowledged for a worker of `zone`, which is any zone if it is `UNKNOWN_ZONE`. A
    * controller without an update in this term may still use a zone lease from an earlier leader. No earlier leader
    * has issued a lease after `earlierLeadershipExpiredFromMs`.
    */
@@ -141,7 +142,7 @@
   ): Iterable<HeartbeatServerFacts> {
     for (const [node, serverZone] of this.peerZones) {
       const record = this.records.get(node);
-      const isOwnZone = zone === "" || serverZone === zone;
+      const isOwnZone = zone === UNKNOWN_ZONE || serverZone === zone;
       if (record) yield isOwnZone ? this.ownZoneFacts(record) : record;
       else if (isOwnZone && this.longestZoneLeaseMs > 0)
         yield this.earlierTermFacts(earlierLeadershipExpiredFromMs);
--- a/src/coordination/leader/buildTermComponents.ts
+++ b/src/coordination/leader/buildTermComponents.ts
@@ -138,6 +138,7 @@
     watcher,
     jobRecords,
     singletons,
+    configuredZones: options.platform.zones,
     onStoredMachineTypes: mailbox.onStoredMachineTypes,
   });
   const writer = new RecordWriter({
--- a/src/coordination/provisioning/provisioner.ts
+++ b/src/coordination/provisioning/provisioner.ts
@@ -1,5 +1,5 @@
 /** Scales the fleet out and in, and applies the cloud's events on machines. */
-import type { JobSpec, ListedMachine } from "../../protocol/model.js";
+import { UNKNOWN_ZONE, type JobSpec, type ListedMachine } from "../../protocol/model.js";
 import type { Machine } from "../../bookkeeping/workload.js";
 import type { Clock } from "../../transport/clock.js";
 import { log } from "../../transport/log.js";
@@ -118,7 +118,9 @@
       log.info(`${listed.name}: found in the cloud's list (${listed.type} ${listed.zone}, ${listed.phase})`);
     }
     machine.type ??= estimates.findType(listed.type);
-    if (machine.zone === "") machine.zone = listed.zone;
+    // Until the worker reports, the cloud's list is more certain than a zone that was read from a record.
+    if (machine.state === "booting" || machine.zone === UNKNOWN_ZONE)
+      machine.zone = listed.zone || machine.zone;
     if (machine.address === "") machine.address = listed.address;
     if (machine.state === "booting") machine.spot = listed.spot;
     if (listed.phase === "running") machine.isListedAsRunning = true;
--- a/src/coordination/records/jobRecords.ts
+++ b/src/coordination/records/jobRecords.ts
@@ -9,8 +9,10 @@
   type AttemptRecord,
   type JobHead,
 } from "../../bookkeeping/records.js";
+import type { KnownZones } from "../../bookkeeping/knownZones.js";
 import type { Item } from "../../bookkeeping/stateStoreClient.js";
 import type { ObsoleteKeys, Transaction } from "../../bookkeeping/transaction.js";
+import { UNKNOWN_ZONE } from "../../protocol/model.js";
 import type { Clock } from "../../transport/clock.js";
 import { log } from "../../transport/log.js";
 import type { Estimates } from "../scheduling/estimates.js";
@@ -63,14 +65,14 @@
   }
 
   /** Applies a chunk that was read when the term began; the key of a chunk without a live job becomes obsolete. */
-  loadChunk(item: Item): void {
+  loadChunk(item: Item, zones: KnownZones): void {
     const { id, index } = parseChunkKey(item.key);
     const job = this.context.jobs.get(id);
     if (!job) {
       this.obsoleteKeys.set(item.key, item.version);
       return;
     }
-    const record = decodeChunk(item.value);
+    const record = decodeChunk(item.value, zones);
     if (!record || !Number.isInteger(index)) {
       logUndecodable(item.key);
       return;
@@ -86,11 +88,14 @@
    */
   private inheritedAttempt(job: Job, entry: AttemptRecord): Attempt {
     const nowMs = this.context.clock.nowMs();
+    const machine = this.context.machines.getOrCreate(entry.machine, entry.zone);
+    // The machine's records contradict each other, and its worker has not reported yet.
+    if (machine.state === "booting" && machine.zone !== entry.zone) machine.zone = UNKNOWN_ZONE;
     return {
       job,
       task: entry.task,
       number: entry.attempt,
-      machine: this.context.machines.getOrCreate(entry.machine, entry.zone),
+      machine,
       isDurable: true,
       isInherited: true,
       sentToken: -1,
--- a/src/coordination/records/recordLoader.ts
+++ b/src/coordination/records/recordLoader.ts
@@ -1,6 +1,7 @@
 /** Loads the records of earlier leaders from the state store, which is the first step of a term. */
 import type { MachineType } from "../../protocol/model.js";
 import { decodeMachineTypes } from "../../protocol/cloud.js";
+import { KnownZones } from "../../bookkeeping/knownZones.js";
 import { keys } from "../../bookkeeping/records.js";
 import type { Item, ListOutcome, StateStoreClient } from "../../bookkeeping/stateStoreClient.js";
 import type { Clock } from "../../transport/clock.js";
@@ -38,6 +39,8 @@
   watcher: RecordWatcher;
   jobRecords: JobRecords;
   singletons: SingletonRecords;
+  /** The cloud's zones according to the settings. */
+  configuredZones: readonly string[];
   /** Called with the stored machine types if the cloud has not yet listed the types to this controller. */
   onStoredMachineTypes: (types: MachineType[]) => void;
   /** Posts a message to the leader's mailbox. */
@@ -91,7 +94,8 @@
     }
     for (const item of singletons) this.applySingleton(item);
     for (const item of heads.items) jobRecords.applyHead(item);
-    for (const item of chunks.items) jobRecords.loadChunk(item);
+    const zones = this.knownZones();
+    for (const item of chunks.items) jobRecords.loadChunk(item, zones);
     lease.markLoaded();
     log.info(`term ${lease.term}: ${jobs.size} live jobs, ${machines.size} machines known`);
     this.reconcileLoadedState();
@@ -101,6 +105,13 @@
     this.context.cycles.requestCycle();
   }
 
+  /** The zones that the settings or the cloud's list of machine types name. */
+  private knownZones(): KnownZones {
+    const { configuredZones, estimates } = this.context;
+    const offeredZones = estimates.types.flatMap((type) => type.zones);
+    return new KnownZones([...configuredZones, ...estimates.controllerZones, ...offeredZones]);
+  }
+
   private applySingleton(item: Item): void {
     const { singletons, estimates } = this.context;
     if (item.key === keys.moves) {
--- a/src/coordination/scheduling/fitting.ts
+++ b/src/coordination/scheduling/fitting.ts
@@ -2,7 +2,7 @@
  * Resource arithmetic and the placement constraints of a job (rule `wrong_place`). These functions run once for each
  * candidate machine, so they do not allocate.
  */
-import type { JobSpec } from "../../protocol/model.js";
+import { UNKNOWN_ZONE, type JobSpec } from "../../protocol/model.js";
 import type { Resources } from "../../bookkeeping/resources.js";
 
 /** Upper bound of rounding errors in resource sums; without it, rounding would reject tasks that fit exactly. */
@@ -64,8 +64,11 @@
  * (rule `wrong_place`). A result of 0 or less means none; Infinity means no limit.
  */
 export function zoneTaskCapacity(spec: JobSpec, tasksByZone: Map<string, number>, zone: string): number {
+  if (zone === UNKNOWN_ZONE && (spec.oneZone || spec.spread)) return 0;
   if (spec.oneZone)
     for (const [otherZone, tasks] of tasksByZone) if (otherZone !== zone && tasks > 0) return 0;
   if (!spec.spread) return Infinity;
-  return Math.ceil(spec.tasks / SPREAD_ZONE_DIVISOR) - (tasksByZone.get(zone) ?? 0);
+  // The tasks whose zone is not known may be in this one.
+  const tasksInZone = (tasksByZone.get(zone) ?? 0) + (tasksByZone.get(UNKNOWN_ZONE) ?? 0);
+  return Math.ceil(spec.tasks / SPREAD_ZONE_DIVISOR) - tasksInZone;
 }
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -59,6 +59,9 @@
   checkpointSaved: boolean;
 }
 
+/** The zone of a machine whose zone is not known: it may be in any zone. */
+export const UNKNOWN_ZONE = "";
+
 /** A worker's heartbeat: the attributes of its machine, and the status of each attempt on it. */
 export interface Heartbeat {
   machine: string;
--- a/test/fakes/cloud.ts
+++ b/test/fakes/cloud.ts
@@ -73,6 +73,10 @@
    */
   private readonly createRequests = new Map<string, string[]>();
   private nextMachine = 0;
+  /** Zones in which the cloud has no capacity. */
+  readonly fullZones = new Set<string>();
+  /** What the names of new machines begin with; a number of six digits follows. */
+  machineNamePrefix = "host-";
   private outageUntilMs = -Infinity;
   private bootFault: (BootFault & { untilMs: number }) | null = null;
 
@@ -148,7 +152,8 @@
     const known = this.createRequests.get(requestId);
     if (known) return { status: 200, body: { tufts: known } };
     const ids: string[] = [];
-    while (ids.length < Number(body.howMany) && this.machines.size < this.capacity) {
+    const isZoneFull = this.fullZones.has(String(body.patch));
+    while (!isZoneFull && ids.length < Number(body.howMany) && this.machines.size < this.capacity) {
       ids.push(this.createMachine(body).id);
     }
     if (ids.length === 0) return { status: 503, body: { error: "no capacity" } };
@@ -159,7 +164,7 @@
   private createMachine(body: Record<string, unknown>): SimMachine {
     const index = this.nextMachine++;
     const machine: SimMachine = {
-      id: `host-${String(index).padStart(6, "0")}`,
+      id: `${this.machineNamePrefix}${String(index).padStart(6, "0")}`,
       address: `10.1.0.${index}:9000`,
       type: String(body.breed),
       zone: String(body.patch),
--- a/test/fakes/leaderTermFixture.ts
+++ b/test/fakes/leaderTermFixture.ts
@@ -19,7 +19,8 @@
 /** The first fencing token of the fixture's term. */
 export const FIRST_TOKEN = firstFencingToken(TERM);
 
-const ARRAY_OF_TWO: JobSpec = {
+/** The job that `addJob` registers by default. */
+export const ARRAY_OF_TWO: JobSpec = {
   id: "job-1",
   className: "class",
   team: "team",
--- a/test/fakes/region.ts
+++ b/test/fakes/region.ts
@@ -15,9 +15,10 @@
 /** Time limit after a confirmed cancellation by which all tasks of the job have ended. */
 export const CANCEL_S = 25;
 
-const ZONES = ["a", "b"];
+/** The cloud's zones, unless a test names others. */
+export const DEFAULT_ZONES: readonly string[] = ["a", "b"];
 
-export const MACHINE_TYPES: SimMachineType[] = [
+export const MACHINE_TYPES: Omit<SimMachineType, "zones">[] = [
   {
     name: "small",
     cores: 4,
@@ -26,7 +27,6 @@
     price: 0.2,
     spotPrice: 0.05,
     bootS: 3,
-    zones: ZONES,
   },
   {
     name: "large",
@@ -36,9 +36,8 @@
     price: 0.9,
     spotPrice: 0.2,
     bootS: 5,
-    zones: ZONES,
   },
-  { name: "accel", cores: 8, gpus: 2, memoryGb: 64, price: 3, spotPrice: 1, bootS: 4, zones: ZONES },
+  { name: "accel", cores: 8, gpus: 2, memoryGb: 64, price: 3, spotPrice: 1, bootS: 4 },
 ];
 
 /** The two teams of the region. */
@@ -55,6 +54,8 @@
   limits: TeamLimits;
   /** Zone of each controller, in the order of `controllers`; "a" for controllers without an entry. */
   zones: string[];
+  /** Names of the cloud's zones. */
+  cloudZones: string[];
   objectives: PlatformSettings["objectives"];
 }
 
@@ -66,7 +67,7 @@
 /** Returns the settings of one controller. */
 export function platformFor(
   name: string,
-  { controllers, limits, zones, objectives }: RegionOptions,
+  { controllers, limits, zones, cloudZones, objectives }: RegionOptions,
 ): PlatformSettings {
   const zoneOf = (controller: string): string => zones[controllers.indexOf(controller)] ?? "a";
   const team = (teamName: TeamName): PlatformSettings["teams"][number] => ({
@@ -88,7 +89,7 @@
     cloudAddress: CLOUD_ADDRESS,
     stateStoreAddress: STATE_STORE_ADDRESS,
     clusterSize: controllers.length,
-    zones: ZONES,
+    zones: cloudZones,
     clockErrorMs: 10,
     teams: [team("one"), team("two")],
     objectives,
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -14,6 +14,7 @@
 import {
   CLOUD_ADDRESS,
   controllerAddress,
+  DEFAULT_ZONES,
   HEARTBEAT_S,
   LEASE_S,
   LIST_LAG_S,
@@ -36,6 +37,8 @@
   controllerCount?: number;
   /** Zone of each controller; the default is "a" for all. */
   zones?: string[];
+  /** Names of the cloud's zones; the default is `DEFAULT_ZONES`. */
+  cloudZones?: string[];
   /** Maximum number of machines that the cloud provides at a time; the default is 12. */
   capacity?: number;
   /** Resource limits of each team; the default is `TEAM_LIMITS`. */
@@ -72,13 +75,14 @@
   constructor(seed: number, options: WorldOptions = {}) {
     const { clock, jobs } = this;
     const { controllerCount = 3, zones = [], capacity = 12, limits = TEAM_LIMITS, objectives = [] } = options;
+    const cloudZones = options.cloudZones ?? [...DEFAULT_ZONES];
     const names = Array.from({ length: controllerCount }, (_, index) => `n${index}`);
     const generator = xoroshiro128plus(seed);
     this.random = () => (generator.next() >>> 0) / 2 ** 32;
     this.net = new SimNet(clock, this.random);
     this.stateStore = new SimStateStore(clock, this.net, this.random, STATE_STORE_ADDRESS);
     this.fleet = this.createFleet(names);
-    this.cloud = this.createCloud(capacity);
+    this.cloud = this.createCloud(capacity, cloudZones);
     this.rules = new RuleChecker({
       clock,
       jobs,
@@ -87,7 +91,7 @@
       limits,
       faultFreeFromMs: () => this.faultFreeFromMs,
     });
-    this.controllers = this.createControllers({ controllers: names, limits, zones, objectives });
+    this.controllers = this.createControllers({ controllers: names, limits, zones, cloudZones, objectives });
     this.users = this.createUsers();
     this.controllers.startAll();
     this.rules.watchIdleCapacity();
@@ -144,14 +148,14 @@
     });
   }
 
-  private createCloud(capacity: number): SimCloud {
+  private createCloud(capacity: number, zones: string[]): SimCloud {
     const { clock, net, random, fleet } = this;
     const cloud = new SimCloud({
       clock,
       net,
       random,
       address: CLOUD_ADDRESS,
-      types: MACHINE_TYPES,
+      types: MACHINE_TYPES.map((type) => ({ ...type, zones })),
       listLagMs: LIST_LAG_S * 1000,
       onBoot: (machine) => fleet.startWorker(machine),
       onTerminated: (machine) => fleet.killWorker(machine),
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -7,6 +7,7 @@
   encodeHead,
   TASKS_PER_CHUNK,
 } from "../src/bookkeeping/records.js";
+import { KnownZones } from "../src/bookkeeping/knownZones.js";
 import { rejectionReason } from "../src/coordination/admission/rejectionReason.js";
 import type { JobSpec } from "../src/protocol/model.js";
 import { decodePeerMessage, encodePeerMessage } from "../src/protocol/peers/codec.js";
@@ -208,7 +209,10 @@
   }));
   const value = encodeChunk({ done, attempts });
   assert.ok(JSON.stringify(value).length < 8 * 1024);
-  assert.deepEqual(decodeChunk(JSON.parse(JSON.stringify(value))), { done, attempts });
+  assert.deepEqual(decodeChunk(JSON.parse(JSON.stringify(value)), new KnownZones(["redcliffe"])), {
+    done,
+    attempts,
+  });
   const head = {
     spec: specOf(submission),
     acceptedAt: new Date(1_700_000_000_000),
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -16,6 +16,7 @@
   type FinalRecord,
   type JobHead,
 } from "../src/bookkeeping/records.js";
+import { KnownZones } from "../src/bookkeeping/knownZones.js";
 import type { JobSpec } from "../src/protocol/model.js";
 
 // The stored strings are golden values: each version has to read the records of earlier and later versions.
@@ -84,6 +85,8 @@
   });
 }
 
+const ZONES = new KnownZones(["north", "south", "far north"]);
+
 /** Returns a bitmap in which the bits of the given tasks are set. */
 function bitmap(...tasks: number[]): Uint8Array {
   const done = new Uint8Array(TASKS_PER_CHUNK / 8);
@@ -115,10 +118,12 @@
 for (const { name, stored, chunk } of chunkCases) {
   test(`a chunk ${name} is encoded to its golden value and decoded from it`, () => {
     assert.equal(JSON.stringify(encodeChunk(chunk)), stored);
-    assert.deepEqual(decodeChunk(JSON.parse(stored)), chunk);
+    assert.deepEqual(decodeChunk(JSON.parse(stored), ZONES), chunk);
   });
 }
 
+const decodeAnyChunk = (value: unknown): unknown => decodeChunk(value, ZONES);
+
 const undecodableCases: { name: string; decode: (value: unknown) => unknown; stored: unknown }[] = [
   { name: "a head that is not an object", decode: decodeHead, stored: "head" },
   { name: "a head without an acceptance time", decode: decodeHead, stored: { ...spec, x: false } },
@@ -129,12 +134,12 @@
     stored: { ...spec, tasks: 1.5, at: 1 },
   },
   { name: "a final record without a number of tasks", decode: decodeFinal, stored: { x: true } },
-  { name: "a chunk without a bitmap", decode: decodeChunk, stored: { m: [], a: [] } },
-  { name: "a chunk without machines", decode: decodeChunk, stored: { d: "", a: [] } },
-  { name: "a chunk without attempts", decode: decodeChunk, stored: { d: "", m: [] } },
+  { name: "a chunk without a bitmap", decode: decodeAnyChunk, stored: { m: [], a: [] } },
+  { name: "a chunk without machines", decode: decodeAnyChunk, stored: { d: "", a: [] } },
+  { name: "a chunk without attempts", decode: decodeAnyChunk, stored: { d: "", m: [] } },
   {
     name: "a chunk with an attempt on an unlisted machine",
-    decode: decodeChunk,
+    decode: decodeAnyChunk,
     stored: { d: "", m: [], a: [[0, 1, 0]] },
   },
 ];
