A task stays with the machine that lists it, if only a record names another

If a machine's name cannot be read back (an earlier version wrote a name with a space, and the zone behind it is not known), the new leader waited for the lease of a machine that does not exist, and started the task again while the real machine listed it and got no stop command.

Cause: a name that was read from a record was taken as certain. Its lease expired, and the cloud confirmed its deletion (it ignores unknown names), both without saying anything about the real machine.

Change: the registry knows whether a worker or the cloud has named a machine in this term. As long as only a record names it, an inherited attempt moves to the machine that lists it, and the machine is not deleted while it has attempts, so that only an expired lease (in an unknown zone: of every zone) proves them gone. Members of a gang share attempt numbers with their replacements, so a list does not show where they belong: they are not moved. StopRequest has a module of its own.

--- a/src/bookkeeping/workload.ts
+++ b/src/bookkeeping/workload.ts
@@ -8,20 +8,9 @@
 import { PendingTasks } from "./pendingTasks.js";
 import { TASKS_PER_CHUNK, type ChunkRecord, type JobHead } from "./records.js";
 import type { Resources } from "./resources.js";
+import type { StopRequest } from "./stopRequest.js";
 import { TaskChunk } from "./taskChunk.js";
 
-/** The leader's decision to stop an attempt. */
-export interface StopRequest {
-  /** Monotonic time of the decision, in milliseconds. */
-  sinceMs: number;
-  /** Grace period in which the task may save its state, in seconds. */
-  graceS: number;
-  /** Whether a stop command has been sent. */
-  isSent: boolean;
-  /** Monotonic time of the last stop command, in milliseconds; -Infinity if none has been sent. */
-  lastSentMs: number;
-}
-
 /**
  * One execution of a task, from its planning until it is confirmed gone: known neither to run nor to be able to start.
  * It holds resources and quota for that whole time.
@@ -193,6 +182,8 @@
    * one. `leaving`: the cloud has been asked to delete the machine.
    */
   state: "booting" | "up" | "leaving" = "booting";
+  /** Whether a worker or the cloud has named the machine in this term, and not only a record. */
+  isNameConfirmed = false;
   /** The machine's type; null while it is not known. */
   type: MachineType | null = null;
   /** Whether the machine is a spot instance; false while that is not known. */
--- a/src/coordination/machines/reconciliation.ts
+++ b/src/coordination/machines/reconciliation.ts
@@ -67,13 +67,19 @@
     return raiseToken;
   }
 
-  /** Maps those of the machine's attempts that its newest heartbeat lists to their status. */
+  /**
+   * Maps the attempts that the machine's newest heartbeat lists to their status. An attempt whose record names a machine
+   * that seems not to exist is moved to this one first.
+   */
   private listedAttempts(machine: Machine): Map<Attempt, TaskStatus> {
+    const { jobs, attempts } = this.context;
     const listed = new Map<Attempt, TaskStatus>();
     for (const status of machine.reportedTasks) {
-      const attempt = this.context.jobs.get(status.jobId)?.attemptOf(status.task);
-      if (attempt && attempt.number === status.attempt && attempt.machine === machine)
-        listed.set(attempt, status);
+      const attempt = jobs.get(status.jobId)?.attemptOf(status.task);
+      if (attempt?.number !== status.attempt) continue;
+      if (attempt.machine !== machine && isMisplaced(attempt))
+        attempts.moveToListingMachine(attempt, machine);
+      if (attempt.machine === machine) listed.set(attempt, status);
     }
     return listed;
   }
@@ -162,6 +168,14 @@
   }
 }
 
+/**
+ * Whether only a record places the attempt on its machine, and another machine that lists the attempt must be the right
+ * one. Members of a gang share numbers with their replacements, so a list may show the member that was replaced.
+ */
+function isMisplaced({ isInherited, machine, job }: Attempt): boolean {
+  return isInherited && !machine.isNameConfirmed && job.spec.kind !== "gang";
+}
+
 /** Records on the job where and when it may be retried. */
 function recordFailure(job: Job, machine: Machine, cause: TaskStatus["cause"], nowMs: number): void {
   switch (cause) {
--- a/src/coordination/machines/scaleInReasons.ts
+++ b/src/coordination/machines/scaleInReasons.ts
@@ -43,6 +43,8 @@
 
 /** True if a machine in the booting state is no longer expected to come up. */
 export function hasFailedToBoot(machine: Machine, context: ScaleInContext, nowMs: number): boolean {
+  // The cloud ignores names that it does not know, so its confirmation of a deletion would not prove the attempts gone.
+  if (!machine.isNameConfirmed && machine.attempts.size > 0) return false;
   const { startedMs } = context.lease;
   // A machine that was up under an earlier leader is silent rather than late: it may be partitioned and reconnect later.
   const hasBootedBefore = machine.attempts.size > 0 || machine.isListedAsRunning;
--- a/src/coordination/provisioning/provisioner.ts
+++ b/src/coordination/provisioning/provisioner.ts
@@ -109,9 +109,9 @@
   private handleListed(listed: ListedMachine, nowMs: number): void {
     const { machines, estimates } = this.context;
     if (machines.isRemoved(listed.name)) return;
-    const known = machines.get(listed.name);
-    const machine = known ?? machines.getOrCreate(listed.name, listed.zone);
-    if (!known) {
+    const isNew = machines.get(listed.name) === undefined;
+    const machine = machines.getOrCreate(listed.name, listed.zone);
+    if (isNew) {
       machine.spot = listed.spot;
       // The age comes from the cloud: otherwise a machine that never boots would look new to each new leader.
       machine.createdMs = nowMs - listed.ageS * 1000;
--- a/src/coordination/records/jobRecords.ts
+++ b/src/coordination/records/jobRecords.ts
@@ -1,4 +1,5 @@
 /** Applies the stored records of jobs to the leader's registry of live jobs. */
+import { newStopRequest } from "../../bookkeeping/stopRequest.js";
 import { Job, type Attempt } from "../../bookkeeping/workload.js";
 import {
   decodeChunk,
@@ -16,7 +17,7 @@
 import type { Clock } from "../../transport/clock.js";
 import { log } from "../../transport/log.js";
 import type { Estimates } from "../scheduling/estimates.js";
-import { newStopRequest, type Attempts } from "../term/attempts.js";
+import type { Attempts } from "../term/attempts.js";
 import type { JobRegistry } from "../term/jobRegistry.js";
 import type { MachineRegistry } from "../term/machineRegistry.js";
 
@@ -88,7 +89,7 @@
    */
   private inheritedAttempt(job: Job, entry: AttemptRecord): Attempt {
     const nowMs = this.context.clock.nowMs();
-    const machine = this.context.machines.getOrCreate(entry.machine, entry.zone);
+    const machine = this.context.machines.getOrCreateRecorded(entry.machine, entry.zone);
     // The machine's records contradict each other, and its worker has not reported yet.
     if (machine.state === "booting" && machine.zone !== entry.zone) machine.zone = UNKNOWN_ZONE;
     return {
--- a/src/coordination/term/attempts.ts
+++ b/src/coordination/term/attempts.ts
@@ -1,5 +1,6 @@
 /** The lifecycle of attempts. Only this module attaches attempts to jobs, machines and quotas and detaches them. */
-import type { Attempt, Job, Machine, StopRequest } from "../../bookkeeping/workload.js";
+import { newStopRequest } from "../../bookkeeping/stopRequest.js";
+import type { Attempt, Job, Machine } from "../../bookkeeping/workload.js";
 import type { QuotaUsage } from "../../bookkeeping/quotaUsage.js";
 import type { Clock } from "../../transport/clock.js";
 import { log } from "../../transport/log.js";
@@ -51,6 +52,17 @@
     this.context.usage.add(attempt.job.spec, 1);
   }
 
+  /** Moves an attempt of an earlier leader to the machine whose worker lists it, and requests a write of the record. */
+  moveToListingMachine(attempt: Attempt, machine: Machine): void {
+    const { job } = attempt;
+    log.info(`${job.id}/${attempt.task}: recorded on ${attempt.machine.name}, but listed by ${machine.name}`);
+    attempt.machine.detach(attempt, this.context.clock.nowMs());
+    attempt.machine = machine;
+    machine.attach(attempt);
+    job.getOrCreateChunk(attempt.task).isDirty = true;
+    this.context.writes.requestWrite(DEFERRED_WRITE_MS);
+  }
+
   /** Releases resources and quota of an attempt that is proved gone or whose start command was never sent. */
   confirmGone(attempt: Attempt): void {
     if (!attempt.machine.attempts.has(attempt)) return;
@@ -128,8 +140,3 @@
   for (const attempt of machine.attempts) if (attempt.job.spec.image === image) return;
   machine.abandonImageFetch(image);
 }
-
-/** Creates a stop request that has not been sent yet. */
-export function newStopRequest(nowMs: number, graceS: number): StopRequest {
-  return { sinceMs: nowMs, graceS, isSent: false, lastSentMs: -Infinity };
-}
--- a/src/coordination/term/machineRegistry.ts
+++ b/src/coordination/term/machineRegistry.ts
@@ -25,13 +25,24 @@
     return this.machines.values();
   }
 
-  /** Returns the machine with the given name. An unknown machine is added in state `booting`. */
+  /**
+   * Returns the machine that a worker or the cloud has named in this term. An unknown machine is added in state
+   * `booting`.
+   */
   getOrCreate(name: string, zone: string): Machine {
-    let machine = this.machines.get(name);
-    if (!machine) {
-      machine = new Machine(name, zone, this.firstToken, this.clock.nowMs());
-      this.machines.set(name, machine);
-    }
+    const machine = this.machines.get(name) ?? this.create(name, zone);
+    machine.isNameConfirmed = true;
+    return machine;
+  }
+
+  /** Returns the machine that a record names. An unknown machine is added in state `booting`. */
+  getOrCreateRecorded(name: string, zone: string): Machine {
+    return this.machines.get(name) ?? this.create(name, zone);
+  }
+
+  private create(name: string, zone: string): Machine {
+    const machine = new Machine(name, zone, this.firstToken, this.clock.nowMs());
+    this.machines.set(name, machine);
     return machine;
   }
 
--- a/test/fakes/leaderTermFixture.ts
+++ b/test/fakes/leaderTermFixture.ts
@@ -90,6 +90,7 @@
   createMachine(name = "host-1"): Machine {
     const machine = new Machine(name, "a", FIRST_TOKEN, this.clock.nowMs());
     machine.state = "up";
+    machine.isNameConfirmed = true;
     machine.address = `${name}:80`;
     machine.epoch = 1;
     machine.seenToken = FIRST_TOKEN;
--- a/test/reconciliation.test.ts
+++ b/test/reconciliation.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import type { Attempt, Machine } from "../src/bookkeeping/workload.js";
-import type { ExitCause, TaskStatus } from "../src/protocol/model.js";
+import type { ExitCause, JobKind, TaskStatus } from "../src/protocol/model.js";
 import { FIRST_TOKEN, taskStatusOf, LeaderTermFixture } from "./fakes/leaderTermFixture.js";
 
 /** The state of an attempt after reconciliation: it holds its resources, its start is due (again), or it is gone. */
@@ -188,6 +188,49 @@
   );
 });
 
+// Guards against docs/incidents/zone-with-a-space.md: a record names a machine that was read under another name.
+describe("an attempt of an earlier leader whose record names another machine than the one that lists it", () => {
+  const cases: {
+    name: string;
+    kind?: JobKind;
+    isNameConfirmed?: boolean;
+    isInherited?: boolean;
+    status?: Partial<TaskStatus>;
+    outcome: "moved" | "not moved" | "gone";
+  }[] = [
+    { name: "is moved if only the record names that machine", outcome: "moved" },
+    { name: "is moved with its exit", status: { phase: "exited", cause: "stopped" }, outcome: "gone" },
+    {
+      name: "stays if a worker or the cloud has named that machine",
+      isNameConfirmed: true,
+      outcome: "not moved",
+    },
+    { name: "stays if it has another number", status: { attempt: 7 }, outcome: "not moved" },
+    {
+      name: "stays if it is a member of a gang, whose replacement has its number",
+      kind: "gang",
+      outcome: "not moved",
+    },
+    { name: "stays if this leader has planned it", isInherited: false, outcome: "not moved" },
+  ];
+  for (const { name, kind = "array", isNameConfirmed = false, isInherited = true, status, outcome } of cases)
+    test(name, () => {
+      const term = new LeaderTermFixture();
+      const recorded = Object.assign(term.createMachine("host"), { isNameConfirmed });
+      const listing = term.createMachine("host 1");
+      const inherited = { isInherited, sentToken: -1, sentEpoch: 0 };
+      const job = term.addJob({ kind });
+      const attempt = term.addAttempt(job, recorded, inherited);
+      listing.reportedTasks = [taskStatusOf(attempt, status)];
+      term.reconciliation.reconcile(listing);
+      assert.equal(recorded.attempts.size, outcome === "not moved" ? 1 : 0);
+      assert.equal(listing.attempts.size, outcome === "moved" ? 1 : 0);
+      assert.equal(attempt.machine, outcome === "not moved" ? recorded : listing);
+      assert.equal(attempt.isInherited, isInherited && outcome !== "moved");
+      assert.equal(job.getOrCreateChunk(0).isDirty, outcome !== "not moved");
+    });
+});
+
 test("a listed attempt of a cancelled job is stopped without a grace period", () => {
   const term = new LeaderTermFixture();
   const machine = term.createMachine();
--- a/test/scaleInReasons.test.ts
+++ b/test/scaleInReasons.test.ts
@@ -30,6 +30,8 @@
     termS: number;
     type?: MachineType;
     isListedAsRunning?: boolean;
+    hasAttempt?: boolean;
+    isNameConfirmed?: boolean;
     hasFailed: boolean;
   }[] = [
     {
@@ -77,8 +79,30 @@
       isListedAsRunning: true,
       hasFailed: true,
     },
+    {
+      name: "with an attempt of an earlier leader has failed after that time, too",
+      ageS: 500,
+      termS: 34.1,
+      hasAttempt: true,
+      hasFailed: true,
+    },
+    {
+      name: "with an attempt is kept as long as only a record names it, since the cloud may not know that name",
+      ageS: 500,
+      termS: 500,
+      hasAttempt: true,
+      isNameConfirmed: false,
+      hasFailed: false,
+    },
+    {
+      name: "without an attempt that only a record names has failed",
+      ageS: 500,
+      termS: 500,
+      isNameConfirmed: false,
+      hasFailed: true,
+    },
   ];
-  for (const { name, ageS, termS, hasFailed, ...change } of cases)
+  for (const { name, ageS, termS, hasAttempt, hasFailed, ...change } of cases)
     test(name, async () => {
       const { term, context } = await termAfter(termS);
       const nowMs = term.clock.nowMs();
@@ -86,6 +110,7 @@
         state: "booting",
         createdMs: nowMs - ageS * 1000,
       });
+      if (hasAttempt) term.addAttempt(term.addJob(), machine);
       assert.equal(hasFailedToBoot(machine, context, nowMs), hasFailed);
     });
 });
--- a/test/zoneNames.test.ts
+++ b/test/zoneNames.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { keys } from "../src/bookkeeping/records.js";
+import type { PlacedTask } from "./fakes/worker.js";
 import { World } from "./fakes/world.js";
 
 /** Zones of the five controllers; the zone that is partitioned off has two. */
@@ -10,12 +11,12 @@
 /** Longer than a worker's lease, shorter than the zone lease of the controllers inside. */
 const PARTITION_S = 20;
 
-/** Replaces the stored machines, each "name zone", of all live jobs. */
+/** Replaces the stored machines of all live jobs, each given as "name zone", the form of earlier versions. */
 function rewriteStoredMachines(world: World, rewrite: (stored: string) => string): void {
   for (const [key, entry] of world.stateStore.entries) {
     if (!key.startsWith(keys.chunkPrefix)) continue;
-    const value = entry.value as { m: string[] };
-    entry.value = { ...value, m: value.m.map(rewrite) };
+    const value = entry.value as { m: (string | [name: string, zone: string])[] };
+    entry.value = { ...value, m: value.m.map((stored) => rewrite([stored].flat().join(" "))) };
   }
 }
 
@@ -86,6 +87,20 @@
       zone: "b east",
       machineNamePrefix: "host no ",
     },
+    {
+      name: "an earlier version stored its machines, whose names contain spaces",
+      cloudZones: ["a", "b"],
+      zone: "b",
+      machineNamePrefix: "host no ",
+      rewrite: (stored) => stored,
+    },
+    {
+      name: "an earlier version stored its machines, whose names contain spaces, with an unknown zone",
+      cloudZones: ["a", "b"],
+      zone: "b",
+      machineNamePrefix: "host no ",
+      rewrite: (stored) => stored.replace(/ b$/, " elsewhere"),
+    },
     {
       name: "another zone is stored than the cloud lists",
       cloudZones: ["a", "b"],
@@ -186,3 +201,23 @@
       );
     });
 });
+
+/**
+ * Guards against a misread machine name: the leader waited for the lease of a machine that does not exist, and started
+ * the task again while the real machine listed it, which no stop command reached.
+ */
+test("a task whose machine was stored under a name that cannot be read back stays on the machine that lists it", async () => {
+  const world = new World(440, { cloudZones: ["a"] });
+  world.cloud.machineNamePrefix = "host no ";
+  await world.run(3);
+  const service = { form: "standing", rank: "prod", spores: 1, cores: 4, memoryGb: 16, windfall: false };
+  world.users.submit({ ref: "job-000001", ...service }, null);
+  await world.run(12);
+  const [{ worker, task }] = world.fleet.liveTasks("job-000001") as [PlacedTask];
+  world.controllers.crash(world.leader!, 3000);
+  rewriteStoredMachines(world, (stored) => stored.replace(/ a$/, " elsewhere"));
+  worker.dropCommands(25_000);
+  await world.run(45);
+  assert.deepEqual(world.violations, []);
+  assert.deepEqual(world.fleet.liveTasks("job-000001"), [{ worker, task }]);
+});
