Map keys of several values: names are told apart whatever characters they contain

What callers would see: with a type "large a" in zone "b" and a type "large" in zone "a b", one order for both, in the zone of the first; a refusal of one kind holding back the other; a job not placed or not preempting for a cycle because another one, which fits nowhere, looked the same.

Cause: keys joined type, zone and purchase option, or the properties of a job, by spaces or commas, which names may contain.

Change: compositeKey encodes the values as JSON. It makes the keys of machine kinds, preemption shapes, quota sums and reservations; lists of types are compared one by one.

--- a/src/coordination/provisioning/machineOrders.ts
+++ b/src/coordination/provisioning/machineOrders.ts
@@ -1,4 +1,5 @@
 /** Kinds of machines, and orders to the cloud for them. */
+import { compositeKey } from "../../bookkeeping/compositeKey.js";
 
 /** A kind of machine that the cloud offers. Refusals and orders are tracked per kind. */
 export interface MachineKind {
@@ -28,5 +29,5 @@
 
 /** Returns the map key of a kind of machine. */
 export function machineKindKey(type: string, zone: string, spot: boolean): string {
-  return `${type} ${zone} ${spot}`;
+  return compositeKey(type, zone, spot);
 }
--- a/src/coordination/scheduling/machineSelection.ts
+++ b/src/coordination/scheduling/machineSelection.ts
@@ -91,12 +91,16 @@
         other.gpus <= spec.gpus &&
         other.memoryGb <= spec.memoryGb &&
         (other.spot || !spec.spot) &&
-        (other.types === null || other.types.join() === spec.types?.join()) &&
+        (other.types === null || areSameTypes(other.types, spec.types)) &&
         (other.zone === null || other.zone === spec.zone),
     );
   }
 }
 
+function areSameTypes(types: readonly string[], others: readonly string[] | null): boolean {
+  return types.length === others?.length && types.every((type, index) => type === others[index]);
+}
+
 function byCost(left: Candidate, right: Candidate): number {
   return left.cost - right.cost || (left.machine.name < right.machine.name ? -1 : 1);
 }
--- a/src/coordination/scheduling/preemptionPlanner.ts
+++ b/src/coordination/scheduling/preemptionPlanner.ts
@@ -1,4 +1,5 @@
 /** Plans the preemptions of one scheduling cycle within the cycle's limits. */
+import { compositeKey } from "../../bookkeeping/compositeKey.js";
 import { addZoneTasks, removeVictimCandidates, type CycleState } from "./cycleState.js";
 import {
   addResources,
@@ -75,7 +76,7 @@
   freeQuota(job: JobView, tasks: number): void {
     const { spec } = job;
     if (tasks <= 0 || job.waitTargetLeftS === null || !this.mayPreempt(job)) return;
-    const shape = `quota ${spec.team} ${spec.priority}`;
+    const shape = compositeKey("quota", spec.team, spec.priority);
     if (this.unsatisfiableShapes.has(shape)) return;
     this.victimSearches++;
     const candidates = this.quotaVictims(job);
@@ -206,7 +207,7 @@
  */
 function preemptionShape({ spec, isGuaranteed }: JobView): string {
   const { team, priority, cpus, gpus, memoryGb, zone, spot, types } = spec;
-  return `${team} ${priority} ${isGuaranteed} ${cpus} ${gpus} ${memoryGb} ${zone} ${spot} ${types?.join()}`;
+  return compositeKey(team, priority, isGuaranteed, cpus, gpus, memoryGb, zone, spot, types);
 }
 
 /** Returns true if the machine is excluded for a reason that may not apply to other jobs of the same shape. */
--- a/src/coordination/scheduling/reservations.ts
+++ b/src/coordination/scheduling/reservations.ts
@@ -1,4 +1,5 @@
 /** Stores reserved machine capacity between scheduling cycles. */
+import { compositeKey } from "../../bookkeeping/compositeKey.js";
 import type { JobRegistry } from "../term/jobRegistry.js";
 import type { Reservation } from "./placementPlan.js";
 
@@ -51,5 +52,5 @@
 }
 
 function keyOf({ jobId, machine }: Reservation): string {
-  return `${jobId} ${machine}`;
+  return compositeKey(jobId, machine);
 }
--- a/test/cycleCost.test.ts
+++ b/test/cycleCost.test.ts
@@ -2,9 +2,9 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { place } from "../src/coordination/scheduling/placement.js";
-import type { PlacementInput, Reservation } from "../src/coordination/scheduling/placementPlan.js";
 import { emptyMachineView, type JobView, type MachineView } from "../src/coordination/scheduling/views.js";
-import type { JobSpec, MachineType } from "../src/protocol/model.js";
+import type { MachineType } from "../src/protocol/model.js";
+import { cycleInput, waitingJob } from "./fakes/placementInput.js";
 
 const MACHINE_TYPE: MachineType = {
   name: "m",
@@ -19,75 +19,10 @@
   zones: ["a", "b"],
 };
 
-function waitingJob(index: number, overrides: Partial<JobSpec> = {}): JobView {
-  const spec: JobSpec = {
-    id: `job-${index}`,
-    className: "c",
-    team: "t",
-    kind: "array",
-    priority: 1,
-    tasks: 40,
-    cpus: 2,
-    gpus: 0,
-    memoryGb: 4,
-    image: `img-${index % 12}`,
-    imageGb: 1,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: true,
-    estimateS: 20,
-    checkpointS: 0,
-    saveS: 0,
-    deadlineS: null,
-    ...overrides,
-  };
-  return {
-    spec,
-    pendingTasks: spec.tasks,
-    taskLimit: Infinity,
-    fairShareTasks: Infinity,
-    isGuaranteed: false,
-    tasksByZone: new Map(),
-    avoidedMachines: new Set(),
-    waitTargetLeftS: null,
-    preferredMachine: null,
-    expectedTaskRunTimeS: 20,
-    isStarving: false,
-  };
-}
-
 function waitingJobs(count: number): JobView[] {
   return Array.from({ length: count }, (_, index) => waitingJob(index));
 }
 
-function cycleInput(
-  jobs: JobView[],
-  machines: MachineView[],
-  reservations: Reservation[] = [],
-): PlacementInput {
-  return {
-    jobs,
-    machines,
-    incoming: [],
-    reservations,
-    quota: {
-      headroom: () => Infinity,
-      headroomAfterStops: () => Infinity,
-      attainableHeadroom: () => Infinity,
-      recordPlannedTasks: () => undefined,
-    },
-    maxEvictions: 40,
-    maxVictimSearches: 8,
-    canPreemptFor: () => false,
-    isCapacityRefused: () => false,
-    isGuaranteed: () => true,
-    interruptionsPerHour: 1,
-    nowMs: 0,
-  };
-}
-
 /** Creates machines that alternate between zones b and a. A machine for which `isFull` returns true has nothing free. */
 function machines(count: number, isFull: (index: number) => boolean): MachineView[] {
   return Array.from({ length: count }, (_, index) => {
--- a/test/provisioning.test.ts
+++ b/test/provisioning.test.ts
@@ -48,6 +48,26 @@
   );
 });
 
+/** Guards against kinds that were taken for one another because their names contain the separator of their key. */
+test("kinds of machines whose names contain spaces, quotes or commas are told apart", () => {
+  const kinds: MachineKind[] = [
+    { type: "small", zone: "a b", spot: true },
+    { type: "small a", zone: "b", spot: true },
+    { type: "small", zone: "a b true", spot: true },
+    { type: 'small","a', zone: "b", spot: true },
+    { type: "small", zone: 'a","b', spot: true },
+  ];
+  for (const refused of kinds) {
+    const refusals = new CapacityRefusals();
+    refusals.recordRefusal(refused, 0);
+    const isRefused = refusals.refusalPredicate(1);
+    assert.deepEqual(
+      kinds.filter(({ type, zone, spot }) => isRefused(type, zone, spot)),
+      [refused],
+    );
+  }
+});
+
 test("an order holds at most 50 machines, at most four orders are open, and no idempotency key is reused", () => {
   const orders = new OpenOrders(() => 7);
   const opened = [1, 2, 3, 4].map((count) => orders.open({ ...SPOT, count: count * 20 }));
--- a/test/scaleOutPlan.test.ts
+++ b/test/scaleOutPlan.test.ts
@@ -63,6 +63,31 @@
   };
 }
 
+/** Guards against one order for two kinds, in the zone of the first: "large a" in "b" and "large" in "a b". */
+test("kinds of machines with spaces in their names are ordered separately", () => {
+  const type = { ...randomType(seededRandom(1), "large"), cpus: 4, gpus: 0, memoryGb: 16 };
+  const spec = { ...randomSpec(seededRandom(1)), tasks: 1, cpus: 4, gpus: 0, memoryGb: 16, spot: false };
+  const unplacedOn = (name: string, zone: string): ScaleOutInput["unplaced"][number] => {
+    const restricted = { ...spec, kind: "array", types: [name], zone, oneZone: false, spread: false };
+    return { job: { spec: restricted, tasksByZone: new Map() } as unknown as JobView, tasks: 1, zone: null };
+  };
+  const targets = planScaleOut({
+    unplaced: [unplacedOn("large a", "b"), unplacedOn("large", "a b")],
+    types: [
+      { ...type, name: "large a", zones: ["b"] },
+      { ...type, name: "large", zones: ["a b"] },
+    ],
+    incoming: [],
+    isRefused: () => false,
+    maxMachines: 10,
+    acceleratorReserve: () => null,
+  });
+  assert.deepEqual(targets, [
+    { type: "large a", zone: "b", spot: false, count: 1 },
+    { type: "large", zone: "a b", spot: false, count: 1 },
+  ]);
+});
+
 /**
  * Guards against a change in the order of candidates or in the choice between equal costs. The expected values were
  * recorded with the planner before it was split into steps.
