Names in log lines are quoted unless they are one plain word

What operators saw: "up after 9.1 s (kisgep pest kelet spot)", where type, zone and purchase option cannot be told apart; the utilization of a type named "g8 (spot)" added to that of spot machines of type g8; a name with a line break as two lines.

Change: quoteName leaves one plain word as it is and makes a JSON string of any other name; it is used for machines, zones, types, classes and nodes. The key of the utilization begins with one of two words of ours.

--- a/src/controller/peerDispatch.ts
+++ b/src/controller/peerDispatch.ts
@@ -8,6 +8,7 @@
 import { PEER_PROTOCOL_VERSION, type PeerMessage } from "../protocol/peers/messages.js";
 import type { Clock } from "../transport/clock.js";
 import type { Readiness } from "./readiness.js";
+import { quoteName } from "../transport/log.js";
 
 /** The known peers and the components that handle their messages. */
 export interface PeerDispatchContext {
@@ -40,7 +41,8 @@
         if (rejectionReason === null) peer = message.from;
         return rejectionReason;
       }
-      if (message.from !== peer) return `sender mismatch: link of ${peer}, message from ${message.from}`;
+      if (message.from !== peer)
+        return `sender mismatch: link of ${quoteName(peer)}, message from ${quoteName(message.from)}`;
       this.dispatch(message);
       return null;
     };
@@ -49,8 +51,8 @@
   private helloRejectionReason(message: PeerMessage): string | null {
     if (message.kind !== "hello") return "the first frame must be a hello message";
     if (message.version !== PEER_PROTOCOL_VERSION)
-      return `protocol version mismatch: ${message.from} uses version ${message.version}, this node uses version ${PEER_PROTOCOL_VERSION}`;
-    if (!this.context.peers.includes(message.from)) return `unknown peer ${message.from}`;
+      return `protocol version mismatch: ${quoteName(message.from)} uses version ${message.version}, this node uses version ${PEER_PROTOCOL_VERSION}`;
+    if (!this.context.peers.includes(message.from)) return `unknown peer ${quoteName(message.from)}`;
     return null;
   }
 
--- a/src/coordination/consolidation/consolidationRounds.ts
+++ b/src/coordination/consolidation/consolidationRounds.ts
@@ -3,7 +3,7 @@
  * and to relieve overloaded ones.
  */
 import type { Attempt } from "../../bookkeeping/workload.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import type { Clock } from "../../transport/clock.js";
 import type { Attempts } from "../term/attempts.js";
 import type { TermLease } from "../term/termLease.js";
@@ -99,7 +99,7 @@
   private beginMove(attempt: Attempt, { from, to }: Move, nowMs: number): void {
     const { job, task } = attempt;
     const { operator, attempts } = this.context;
-    log.info(`consolidation: moving ${job.id}/${task} from ${from} to ${to}`);
+    log.info(`consolidation: moving ${job.id}/${task} from ${quoteName(from)} to ${quoteName(to)}`);
     this.preferredMachines.set(job.id, { machine: to, untilMs: nowMs + PREFERENCE_MS });
     job.avoidedUntilMs.set(from, nowMs + operator.roundIntervalS * (AVOIDANCE_ROUNDS * MS_PER_S));
     attempts.stopGracefully(attempt);
--- a/src/coordination/heartbeats/acknowledgementLimits.ts
+++ b/src/coordination/heartbeats/acknowledgementLimits.ts
@@ -4,7 +4,7 @@
  */
 import type { Job, Machine } from "../../bookkeeping/workload.js";
 import { UNKNOWN_ZONE } from "../../protocol/model.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import { acknowledgementLimitMs } from "../term/acknowledgementLimit.js";
 import { GRANT_DURATION_MS } from "./heartbeatServerRegistry.js";
 
@@ -53,7 +53,7 @@
       quarantined.push(machine.name);
       if (!this.quarantined.includes(machine.name))
         log.info(
-          `${machine.name}: quarantined so that its lease expires, because a cancelled task was not confirmed stopped in time`,
+          `${quoteName(machine.name)}: quarantined so that its lease expires, because a cancelled task was not confirmed stopped in time`,
         );
     }
     this.quarantined = quarantined;
--- a/src/coordination/leadership/electionStep.ts
+++ b/src/coordination/leadership/electionStep.ts
@@ -1,5 +1,6 @@
 /** The decision that a controller that does not lead takes after each read of the leadership record. */
 import type { LeadershipRecord } from "./leadershipRecord.js";
+import { quoteName } from "../../transport/log.js";
 
 /** The next action of a controller that does not lead. */
 export type ElectionStep =
@@ -24,7 +25,7 @@
 export function decideElectionStep(record: LeadershipRecord | null, facts: ElectionFacts): ElectionStep {
   if (!record) return { kind: facts.isCampaignPaused ? "wait" : "campaign" };
   if (facts.isLeaderSuspected)
-    return { kind: "end lease", record, reason: `${record.node} refuses connections` };
+    return { kind: "end lease", record, reason: `${quoteName(record.node)} refuses connections` };
   // The previous process of this node has certainly ended, so its lease can be ended as well.
   if (record.node === facts.node && record.incarnation !== facts.incarnation)
     return { kind: "end lease", record, reason: "it belongs to a previous process of this node" };
--- a/src/coordination/leadership/elector.ts
+++ b/src/coordination/leadership/elector.ts
@@ -4,7 +4,7 @@
  * right to acknowledge heartbeats, but never its right to write. Enforces rule `ran_twice`: a new leader counts worker
  * leases from the time after which no earlier leader can have acknowledged a heartbeat. The election publishes that time.
  */
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import { Actor } from "../../transport/actor.js";
 import { CheckTimer, type RandomDelay } from "./checkTimer.js";
 import { decideElectionStep } from "./electionStep.js";
@@ -252,7 +252,7 @@
     this.known.observeTerm(term);
     if (term === this.known.term && !this.ownTerm) this.observeLeader(from, term);
     if (term >= this.known.term) send(from, { kind: "term acknowledgement", from: node, term });
-    if (this.ownTerm && term > this.ownTerm.term) this.resign(`${from} leads term ${term}`);
+    if (this.ownTerm && term > this.ownTerm.term) this.resign(`${quoteName(from)} leads term ${term}`);
   }
 
   private answerExtensionRequest({ from, term, requestId }: ExtensionRequest): void {
--- a/src/coordination/machines/cordon.ts
+++ b/src/coordination/machines/cordon.ts
@@ -1,7 +1,7 @@
 /** Cordons machines that must get no new work because tasks fail on them or the cloud will interrupt them. */
 import type { Attempt, Machine } from "../../bookkeeping/workload.js";
 import type { Clock } from "../../transport/clock.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import type { Estimates } from "../scheduling/estimates.js";
 import { machineLooksFaulty } from "../scheduling/failureDetection.js";
 import type { Attempts } from "../term/attempts.js";
@@ -77,5 +77,5 @@
   if (machine.isCordoned) return;
   machine.isCordoned = true;
   machine.cordonReason = reason;
-  log.info(`${machine.name}: cordoned, gets no new work: ${reason}`);
+  log.info(`${quoteName(machine.name)}: cordoned, gets no new work: ${reason}`);
 }
--- a/src/coordination/machines/heartbeatProcessor.ts
+++ b/src/coordination/machines/heartbeatProcessor.ts
@@ -2,7 +2,7 @@
 import type { Machine } from "../../bookkeeping/workload.js";
 import type { Heartbeat, ReceivedHeartbeat, UnchangedHeartbeat } from "../../protocol/model.js";
 import type { Clock } from "../../transport/clock.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import { PROBE_INTERVAL_MS } from "../commands/commandDeliveries.js";
 import { firstFencingToken } from "../term/fencingTokens.js";
 import type { Estimates } from "../scheduling/estimates.js";
@@ -125,7 +125,9 @@
   private markUp(machine: Machine, type: string, nowMs: number): void {
     machine.state = "up";
     const bootS = ((nowMs - machine.createdMs) / 1000).toFixed(1);
-    log.info(`${machine.name}: up after ${bootS} s (${type} ${machine.zone}${machine.spot ? " spot" : ""})`);
+    log.info(
+      `${quoteName(machine.name)}: up after ${bootS} s (${quoteName(type)} ${quoteName(machine.zone)}${machine.spot ? " spot" : ""})`,
+    );
     this.context.cycles.requestCycle();
   }
 
@@ -133,7 +135,7 @@
     if (machine.interruptionAtMs === null) {
       machine.hasNewInterruptionNotice = true;
       this.context.estimates.recordSpotInterruption();
-      log.info(`${machine.name}: spot interruption in ${noticeS.toFixed(1)} s`);
+      log.info(`${quoteName(machine.name)}: spot interruption in ${noticeS.toFixed(1)} s`);
     }
     machine.interruptionAtMs = nowMs + noticeS * 1000;
   }
@@ -142,7 +144,7 @@
 /** Records that the worker has started a new epoch, in which the tasks of its earlier epochs are gone. */
 function beginEpoch(machine: Machine, epoch: number, nowMs: number): void {
   if (machine.epoch > 0) {
-    log.info(`${machine.name}: worker started epoch ${epoch}, tasks of earlier epochs are gone`);
+    log.info(`${quoteName(machine.name)}: worker started epoch ${epoch}, tasks of earlier epochs are gone`);
     // The worker's lease expired although its heartbeats arrive, so the responses may not be reaching the worker.
     machine.requireNewToken(nowMs);
   }
--- a/src/coordination/machines/machineSupervisor.ts
+++ b/src/coordination/machines/machineSupervisor.ts
@@ -1,6 +1,6 @@
 /** Periodic supervision of machines, for state changes that no heartbeat triggers because it is missing or unchanged. */
 import type { Machine } from "../../bookkeeping/workload.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import type { Estimates } from "../scheduling/estimates.js";
 import type { MachineRegistry } from "../term/machineRegistry.js";
 import { CommandRetrier, type CommandRetrierContext } from "./commandRetrier.js";
@@ -56,7 +56,7 @@
     // gone, including those whose start is still in flight, because such a start names an epoch that has ended. The machine
     // may still come back.
     if (machine.attempts.size > 0 && this.context.leases.hasExpired(machine, nowMs)) {
-      log.info(`${machine.name}: lease expired without a heartbeat in this term`);
+      log.info(`${quoteName(machine.name)}: lease expired without a heartbeat in this term`);
       this.markAttemptsLost(machine);
     }
     if (hasFailedToBoot(machine, this.context, nowMs)) this.context.scaleIn(machine, "never came up");
@@ -65,7 +65,7 @@
   private superviseUp(machine: Machine, counts: SilenceCounts, nowMs: number): void {
     const isUnacknowledged = nowMs - machine.lastAcknowledgedMs > this.context.leaseS * 1000;
     if (machine.attempts.size > 0 && isUnacknowledged && this.context.leases.hasExpired(machine, nowMs)) {
-      log.info(`${machine.name}: lease expired, ${formatSilence(nowMs - machine.lastContactMs)}`);
+      log.info(`${quoteName(machine.name)}: lease expired, ${formatSilence(nowMs - machine.lastContactMs)}`);
       this.markAttemptsLost(machine);
     }
     const lostReason = lostMachineReason(machine, counts, this.context, nowMs);
--- a/src/coordination/machines/reconciliation.ts
+++ b/src/coordination/machines/reconciliation.ts
@@ -2,7 +2,7 @@
 import type { Attempt, Job, Machine } from "../../bookkeeping/workload.js";
 import type { TaskStatus } from "../../protocol/model.js";
 import type { Clock } from "../../transport/clock.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import { firstFencingToken } from "../term/fencingTokens.js";
 import { absenceProvesTaskGone } from "../term/leaseProofs.js";
 import type { Estimates } from "../scheduling/estimates.js";
@@ -142,7 +142,7 @@
     attempt.runningMs = nowMs;
     log.debug(
       () =>
-        `${job.id}/${attempt.task} (${job.spec.className}) started running on ${machine.name}, ` +
+        `${job.id}/${attempt.task} (${quoteName(job.spec.className)}) started running on ${quoteName(machine.name)}, ` +
         `${((nowMs - job.submittedMs) / 1000).toFixed(2)} s after submission, ${((nowMs - attempt.plannedMs) / 1000).toFixed(2)} s after placement`,
     );
   }
--- a/src/coordination/provisioning/fleetUsageLog.ts
+++ b/src/coordination/provisioning/fleetUsageLog.ts
@@ -1,7 +1,7 @@
 /** Periodic log line on the utilization of the paid machines. */
 import type { Resources } from "../../bookkeeping/resources.js";
 import type { Machine } from "../../bookkeeping/workload.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import { loadOf } from "../consolidation/machineLoad.js";
 import type { MachineRegistry } from "../term/machineRegistry.js";
 
@@ -9,6 +9,8 @@
 
 /** Sums over the samples of one kind of machine, in machines; `running` and `preparing` are sums of machine shares. */
 interface UsageSum {
+  /** The kind's name in the log line. */
+  kind: string;
   machines: number;
   booting: number;
   /** Share used by tasks that run. */
@@ -42,7 +44,7 @@
   private addMachine(machine: Machine): void {
     const { type } = machine;
     if (!type || machine.state === "leaving") return;
-    const sum = this.sumOf(machine.spot ? `${type.name} (spot)` : type.name);
+    const sum = this.sumOf(type.name, machine.spot);
     sum.machines++;
     if (machine.state === "booting") {
       sum.booting++;
@@ -53,24 +55,31 @@
     sum.preparing += Math.max(0, loadOf(machine.used, type) - running);
   }
 
-  private sumOf(kind: string): UsageSum {
-    let sum = this.sums.get(kind);
+  private sumOf(type: string, spot: boolean): UsageSum {
+    // The first word is one of two, so the key is unambiguous whatever the type's name contains.
+    const key = `${spot ? "spot" : "on-demand"} ${type}`;
+    let sum = this.sums.get(key);
     if (!sum) {
-      sum = { machines: 0, booting: 0, running: 0, preparing: 0 };
-      this.sums.set(kind, sum);
+      sum = {
+        kind: spot ? `${quoteName(type)} (spot)` : quoteName(type),
+        machines: 0,
+        booting: 0,
+        running: 0,
+        preparing: 0,
+      };
+      this.sums.set(key, sum);
     }
     return sum;
   }
 
   private summary(): string {
-    return [...this.sums]
-      .sort(([kindA], [kindB]) => (kindA < kindB ? -1 : 1))
-      .map(([kind, sum]) => this.describe(kind, sum))
+    return [...this.sums.values()]
+      .sort((left, right) => (left.kind < right.kind ? -1 : 1))
+      .map((sum) => this.describe(sum))
       .join("; ");
   }
 
-  private describe(kind: string, sum: UsageSum): string {
-    const { machines, booting, running, preparing } = sum;
+  private describe({ kind, machines, booting, running, preparing }: UsageSum): string {
     const free = machines - booting - running - preparing;
     const shares = [
       `${percent(running, machines)} running`,
--- a/src/coordination/provisioning/provisioner.ts
+++ b/src/coordination/provisioning/provisioner.ts
@@ -2,7 +2,7 @@
 import { UNKNOWN_ZONE, type JobSpec, type ListedMachine } from "../../protocol/model.js";
 import type { Machine } from "../../bookkeeping/workload.js";
 import type { Clock } from "../../transport/clock.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import type { ConsolidationRounds } from "../consolidation/consolidationRounds.js";
 import type { Estimates } from "../scheduling/estimates.js";
 import type { PlacementPlan } from "../scheduling/placementPlan.js";
@@ -115,7 +115,9 @@
       machine.spot = listed.spot;
       // The age comes from the cloud: otherwise a machine that never boots would look new to each new leader.
       machine.createdMs = nowMs - listed.ageS * 1000;
-      log.info(`${listed.name}: found in the cloud's list (${listed.type} ${listed.zone}, ${listed.phase})`);
+      log.info(
+        `${quoteName(listed.name)}: found in the cloud's list (${quoteName(listed.type)} ${quoteName(listed.zone)}, ${listed.phase})`,
+      );
     }
     machine.type ??= estimates.findType(listed.type);
     // Until the worker reports, the cloud's list is more certain than a zone that was read from a record.
@@ -134,7 +136,7 @@
   /** Asks the cloud to delete a machine, unless that was done already, and logs the reason. */
   scaleIn(machine: Machine, reason: string): void {
     if (machine.state === "leaving") return;
-    log.info(`${machine.name}: scaled in: ${reason}`);
+    log.info(`${quoteName(machine.name)}: scaled in: ${reason}`);
     machine.state = "leaving";
     this.context.cloud.post({ kind: "delete", names: [machine.name] });
   }
@@ -172,7 +174,7 @@
       if (this.orders.isFull) break;
       if (this.orders.hasOrderForKind(target)) continue;
       const order = this.orders.open(target);
-      const kind = `${order.type} in ${order.zone}${order.spot ? " (spot)" : ""}`;
+      const kind = `${quoteName(order.type)} in ${quoteName(order.zone)}${order.spot ? " (spot)" : ""}`;
       log.info(`scaling out by ${order.count} ${kind}, request ${order.idempotencyKey}`);
       this.context.cloud.post({ kind: "create", order });
     }
--- a/src/coordination/scheduling/planExecutor.ts
+++ b/src/coordination/scheduling/planExecutor.ts
@@ -1,7 +1,7 @@
 /** Applies the plan of a scheduling cycle: creates planned attempts and stop requests. */
 import type { Attempt, Job, Machine } from "../../bookkeeping/workload.js";
 import type { Objective } from "../../settings/platform.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import type { Attempts } from "../term/attempts.js";
 import type { JobRegistry } from "../term/jobRegistry.js";
 import type { MachineRegistry } from "../term/machineRegistry.js";
@@ -41,7 +41,7 @@
       if (task === null) break;
       this.planAttempt(job, task, machine, nowMs);
     }
-    log.debug(() => `${job.id}: placed ${tasks} tasks on ${machine.name}`);
+    log.debug(() => `${job.id}: placed ${tasks} tasks on ${quoteName(machine.name)}`);
   }
 
   private planAttempt(job: Job, task: number, machine: Machine, nowMs: number): void {
@@ -76,7 +76,7 @@
   private evict(attempt: Attempt, forJobId: string, nowMs: number): void {
     const { job, machine } = attempt;
     if (attempt.stop || !machine.attempts.has(attempt)) return;
-    log.debug(() => `${job.id}/${attempt.task}: preempted on ${machine.name} for ${forJobId}`);
+    log.debug(() => `${job.id}/${attempt.task}: preempted on ${quoteName(machine.name)} for ${forJobId}`);
     if (this.mustStopImmediately(job, forJobId, nowMs)) this.context.attempts.stopAttempt(attempt, 0);
     else this.context.attempts.stopGracefully(attempt);
   }
--- a/src/coordination/term/attempts.ts
+++ b/src/coordination/term/attempts.ts
@@ -3,7 +3,7 @@
 import type { Attempt, Job, Machine } from "../../bookkeeping/workload.js";
 import type { QuotaUsage } from "../../bookkeeping/quotaUsage.js";
 import type { Clock } from "../../transport/clock.js";
-import { log } from "../../transport/log.js";
+import { log, quoteName } from "../../transport/log.js";
 import type { CycleRequests } from "./cycleRequests.js";
 import type { JobRegistry } from "./jobRegistry.js";
 import { DEFERRED_WRITE_MS, type WriteRequests } from "./writeQueue.js";
@@ -55,7 +55,9 @@
   /** Moves an attempt of an earlier leader to the machine whose worker lists it, and requests a write of the record. */
   moveToListingMachine(attempt: Attempt, machine: Machine): void {
     const { job } = attempt;
-    log.info(`${job.id}/${attempt.task}: recorded on ${attempt.machine.name}, but listed by ${machine.name}`);
+    log.info(
+      `${job.id}/${attempt.task}: recorded on ${quoteName(attempt.machine.name)}, but listed by ${quoteName(machine.name)}`,
+    );
     attempt.machine.detach(attempt, this.context.clock.nowMs());
     attempt.machine = machine;
     machine.attach(attempt);
@@ -122,7 +124,7 @@
   /** Handles an attempt without an observed exit: its machine, epoch or lease ended, or a higher token fenced it. */
   markLost(attempt: Attempt): void {
     const { job } = attempt;
-    log.debug(() => `${job.id}/${attempt.task}: attempt on ${attempt.machine.name} was lost`);
+    log.debug(() => `${job.id}/${attempt.task}: attempt on ${quoteName(attempt.machine.name)} was lost`);
     this.confirmGone(attempt);
     if (job.spec.kind === "gang") this.restartGang(job);
   }
