Attempts are built, and tasks counted by zone, in one place each; the command sender logs stacks

The command sender's own error handler was that of Actor without the stack trace; it is gone. No behaviour changes otherwise.

--- a/src/coordination/commands/commandSender.ts
+++ b/src/coordination/commands/commandSender.ts
@@ -3,7 +3,6 @@
 import { decodeHeartbeat, DIRECT_COMMANDS_PATH, encodeDirectCommands } from "../../protocol/workers.js";
 import { Actor } from "../../transport/actor.js";
 import { type HttpCaller, NoResponseError } from "../../transport/httpClient.js";
-import { log } from "../../transport/log.js";
 
 type OnResult = (result: DeliveryResult) => void;
 
@@ -26,10 +25,6 @@
     super("command sender");
   }
 
-  protected override handleError(message: Message, error: unknown): void {
-    log.error(`command sender: handling of "${message.kind}" failed: ${String(error)}`);
-  }
-
   protected override handle(message: Message): void {
     switch (message.kind) {
       case "deliver":
--- a/src/coordination/consolidation/consolidationSnapshot.ts
+++ b/src/coordination/consolidation/consolidationSnapshot.ts
@@ -1,9 +1,10 @@
 /** Builds the snapshot of machines and tasks that one consolidation round plans with. */
-import type { Attempt, Job, Machine } from "../../bookkeeping/workload.js";
+import type { Attempt, Machine } from "../../bookkeeping/workload.js";
 import type { Resources } from "../../bookkeeping/resources.js";
 import type { MachineType } from "../../protocol/model.js";
 import type { OperatorSettings } from "../../settings/operator.js";
 import { allowsPlacement, zoneTaskCapacity } from "../scheduling/fitting.js";
+import { attemptsByZone } from "../scheduling/tasksByZone.js";
 import type { JobRegistry } from "../term/jobRegistry.js";
 import type { MachineRegistry } from "../term/machineRegistry.js";
 import type { TaskSnapshot, MachineLoadSnapshot } from "./consolidationTypes.js";
@@ -129,15 +130,5 @@
   const { spec } = attempt.job;
   if (!machine?.type || machine.isCordoned) return false;
   if (!allowsPlacement(spec, machine.type.name, machine.zone, machine.spot)) return false;
-  return zoneTaskCapacity(spec, otherTasksByZone(attempt.job, attempt), machine.zone) > 0;
-}
-
-function otherTasksByZone(job: Job, except: Attempt): Map<string, number> {
-  const tasksByZone = new Map<string, number>();
-  for (const attempt of job.attempts) {
-    if (attempt === except) continue;
-    const { zone } = attempt.machine;
-    tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + 1);
-  }
-  return tasksByZone;
+  return zoneTaskCapacity(spec, attemptsByZone(attempt.job, attempt), machine.zone) > 0;
 }
--- a/src/coordination/provisioning/scaleOutPlan.ts
+++ b/src/coordination/provisioning/scaleOutPlan.ts
@@ -9,6 +9,7 @@
 } from "../scheduling/fitting.js";
 import type { AcceleratorReserve, JobView, MachineView } from "../scheduling/views.js";
 import { emptyMachineView } from "../scheduling/views.js";
+import { addZoneTasks } from "../scheduling/tasksByZone.js";
 import { machineKindKey, purchaseOptions, type ScaleOutTarget } from "./machineOrders.js";
 
 /**
@@ -175,7 +176,7 @@
   );
   if (tasks <= 0) return;
   subtractTasks(machine.free, spec, tasks);
-  tasksByZone.set(machine.zone, (tasksByZone.get(machine.zone) ?? 0) + tasks);
+  addZoneTasks(tasksByZone, machine.zone, tasks);
   demand.tasks -= tasks;
 }
 
--- a/src/coordination/records/jobRecords.ts
+++ b/src/coordination/records/jobRecords.ts
@@ -1,5 +1,6 @@
 /** Applies the stored records of jobs to the leader's registry of live jobs. */
 import { newStopRequest } from "../../bookkeeping/stopRequest.js";
+import { unsentAttempt } from "../../bookkeeping/unsentAttempt.js";
 import { Job, type Attempt } from "../../bookkeeping/workload.js";
 import {
   decodeChunk,
@@ -93,18 +94,9 @@
     // The machine's records contradict each other, and its worker has not reported yet.
     if (machine.state === "booting" && machine.zone !== entry.zone) machine.zone = UNKNOWN_ZONE;
     return {
-      job,
-      task: entry.task,
-      number: entry.attempt,
-      machine,
+      ...unsentAttempt({ job, task: entry.task, number: entry.attempt, machine }, nowMs),
       isDurable: true,
       isInherited: true,
-      sentToken: -1,
-      sentEpoch: 0,
-      sentMs: -Infinity,
-      phase: null,
-      plannedMs: nowMs,
-      runningMs: null,
       stop: job.isCancelled ? newStopRequest(nowMs, 0) : null,
     };
   }
--- a/src/coordination/scheduling/cycleState.ts
+++ b/src/coordination/scheduling/cycleState.ts
@@ -4,6 +4,7 @@
 import { addResources, ROUNDING_TOLERANCE, subtractTasks } from "./fitting.js";
 import { groupBy } from "./groupBy.js";
 import type { PlacementInput, PlacementPlan, Reservation } from "./placementPlan.js";
+import { addZoneTasks } from "./tasksByZone.js";
 import type { JobView, MachineView, VictimView } from "./views.js";
 
 /** A machine selected for a job, with the number of the job's tasks to place on it. */
@@ -123,11 +124,6 @@
   }
 }
 
-/** Adds tasks to the count of a zone. */
-export function addZoneTasks(tasksByZone: Map<string, number>, zone: string, tasks: number): void {
-  tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + tasks);
-}
-
 /** Removes tasks that are already being stopped from the machine's list of possible victims. */
 export function removeVictimCandidates(machine: MachineView, removed: VictimView[]): void {
   const remaining = machine.victims().filter((victim) => !removed.includes(victim));
--- a/src/coordination/scheduling/jobViews.ts
+++ b/src/coordination/scheduling/jobViews.ts
@@ -4,6 +4,7 @@
 import { jobLooksFaulty } from "./failureDetection.js";
 import { waitTargetLeftS } from "./objectiveTargets.js";
 import type { QueueEntry } from "./queueEntry.js";
+import { attemptsByZone } from "./tasksByZone.js";
 import type { JobView } from "./views.js";
 
 /** A job that looks faulty runs at most this many tasks at once until one of them succeeds. */
@@ -41,12 +42,6 @@
   };
 }
 
-function attemptsByZone(job: Job): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const { machine } of job.attempts) counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
-  return counts;
-}
-
 /** Returns the names of the machines that the job avoids, and removes the expired ones from the job. */
 function avoidedMachines(job: Job, nowMs: number): Set<string> {
   const avoided = new Set<string>();
--- a/src/coordination/scheduling/machineSelection.ts
+++ b/src/coordination/scheduling/machineSelection.ts
@@ -1,8 +1,9 @@
 /** Selects machines for tasks in order of placement cost. */
 import type { JobSpec } from "../../protocol/model.js";
-import { addZoneTasks, type CycleState, type SelectedMachine } from "./cycleState.js";
+import type { CycleState, SelectedMachine } from "./cycleState.js";
 import { addResources, allowsPlacement, fits, zoneTaskCapacity } from "./fitting.js";
 import { fetchDelayS, placementCost, placeableTasks } from "./placementCost.js";
+import { addZoneTasks } from "./tasksByZone.js";
 import type { JobView, MachineView } from "./views.js";
 
 /** A task may backfill reserved resources only if this multiple of its expected duration ends before the job starts. */
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -2,12 +2,13 @@
  * Plans a scheduling cycle: the tasks to place, the tasks to preempt for them, and the tasks that stay unplaced. Uses
  * only the snapshots in its input.
  */
-import { addZoneTasks, CycleState } from "./cycleState.js";
+import { CycleState } from "./cycleState.js";
 import { addResources, fittingTasks, zoneTaskCapacity } from "./fitting.js";
 import { GangPlacement } from "./gangPlacement.js";
 import { NO_SELECTION_LIMITS, MachineSelection } from "./machineSelection.js";
 import type { PlacementInput, PlacementPlan } from "./placementPlan.js";
 import { PreemptionPlanner } from "./preemptionPlanner.js";
+import { addZoneTasks } from "./tasksByZone.js";
 import type { JobView } from "./views.js";
 
 /**
--- a/src/coordination/scheduling/planExecutor.ts
+++ b/src/coordination/scheduling/planExecutor.ts
@@ -1,4 +1,5 @@
 /** Applies the plan of a scheduling cycle: creates planned attempts and stop requests. */
+import { unsentAttempt } from "../../bookkeeping/unsentAttempt.js";
 import type { Attempt, Job, Machine } from "../../bookkeeping/workload.js";
 import type { Objective } from "../../settings/platform.js";
 import { log, quoteName } from "../../transport/log.js";
@@ -46,21 +47,8 @@
 
   private planAttempt(job: Job, task: number, machine: Machine, nowMs: number): void {
     const chunk = job.getOrCreateChunk(task);
-    this.context.attempts.attach({
-      job,
-      task,
-      number: this.attemptNumber(job),
-      machine,
-      isDurable: false,
-      isInherited: false,
-      sentToken: -1,
-      sentEpoch: 0,
-      sentMs: -Infinity,
-      phase: null,
-      plannedMs: nowMs,
-      runningMs: null,
-      stop: null,
-    });
+    const number = this.attemptNumber(job);
+    this.context.attempts.attach(unsentAttempt({ job, task, number, machine }, nowMs));
     chunk.isDirty = true;
     chunk.isUrgent = true;
   }
--- a/src/coordination/scheduling/preemptionPlanner.ts
+++ b/src/coordination/scheduling/preemptionPlanner.ts
@@ -1,6 +1,6 @@
 /** Plans the preemptions of one scheduling cycle within the cycle's limits. */
 import { compositeKey } from "../../bookkeeping/compositeKey.js";
-import { addZoneTasks, removeVictimCandidates, type CycleState } from "./cycleState.js";
+import { removeVictimCandidates, type CycleState } from "./cycleState.js";
 import {
   addResources,
   allowsPlacement,
@@ -10,6 +10,7 @@
 } from "./fitting.js";
 import { fetchDelayS } from "./placementCost.js";
 import { mayEvict, victimsFor } from "./preemption.js";
+import { addZoneTasks } from "./tasksByZone.js";
 import type { JobView, MachineView, VictimView } from "./views.js";
 
 /** Cost of one second of lost work, in seconds of image fetch delay. */
