Map keys of names carry their lengths instead of being JSON, which cost processor time

Change: a key is a template again, with the length of each name that something else follows. compositeKey is gone; the quota and reservation keys were unambiguous before, since a number or a job id comes first or last.

--- a/src/coordination/provisioning/machineOrders.ts
+++ b/src/coordination/provisioning/machineOrders.ts
@@ -1,5 +1,4 @@
 /** Kinds of machines, and orders to the cloud for them. */
-import { compositeKey } from "../../bookkeeping/compositeKey.js";
 
 /** A kind of machine that the cloud offers. Refusals and orders are tracked per kind. */
 export interface MachineKind {
@@ -27,7 +26,7 @@
   return spot ? SPOT_FIRST : ON_DEMAND_ONLY;
 }
 
-/** Returns the map key of a kind of machine. */
+/** Returns the map key of a kind of machine. The length shows where the type's name ends, whatever it contains. */
 export function machineKindKey(type: string, zone: string, spot: boolean): string {
-  return compositeKey(type, zone, spot);
+  return `${type.length} ${type} ${zone} ${spot}`;
 }
--- a/src/coordination/scheduling/preemptionPlanner.ts
+++ b/src/coordination/scheduling/preemptionPlanner.ts
@@ -1,5 +1,4 @@
 /** Plans the preemptions of one scheduling cycle within the cycle's limits. */
-import { compositeKey } from "../../bookkeeping/compositeKey.js";
 import { removeVictimCandidates, type CycleState } from "./cycleState.js";
 import {
   addResources,
@@ -77,7 +76,7 @@
   freeQuota(job: JobView, tasks: number): void {
     const { spec } = job;
     if (tasks <= 0 || job.waitTargetLeftS === null || !this.mayPreempt(job)) return;
-    const shape = compositeKey("quota", spec.team, spec.priority);
+    const shape = `quota ${spec.priority} ${spec.team}`;
     if (this.unsatisfiableShapes.has(shape)) return;
     this.victimSearches++;
     const candidates = this.quotaVictims(job);
@@ -208,7 +207,9 @@
  */
 function preemptionShape({ spec, isGuaranteed }: JobView): string {
   const { team, priority, cpus, gpus, memoryGb, zone, spot, types } = spec;
-  return compositeKey(team, priority, isGuaranteed, cpus, gpus, memoryGb, zone, spot, types);
+  // The lengths show where the names end, whatever they contain.
+  const names = `${team.length} ${zone?.length} ${team}${zone}${JSON.stringify(types)}`;
+  return `${priority} ${isGuaranteed} ${cpus} ${gpus} ${memoryGb} ${spot} ${names}`;
 }
 
 /** Returns true if the machine is excluded for a reason that may not apply to other jobs of the same shape. */
--- a/src/coordination/scheduling/quotaView.ts
+++ b/src/coordination/scheduling/quotaView.ts
@@ -1,5 +1,4 @@
 /** Team quotas during one scheduling cycle (rule `quota`). */
-import { compositeKey } from "../../bookkeeping/compositeKey.js";
 import type { Job } from "../../bookkeeping/workload.js";
 import { addTaskUsage, type QuotaAmount, type QuotaUsage } from "../../bookkeeping/quotaUsage.js";
 import type { JobSpec } from "../../protocol/model.js";
@@ -70,7 +69,7 @@
 
   /** Returns the quota that the waiting job's team uses and that will not become free for the job. */
   private unreclaimable(waiting: JobSpec): QuotaAmount {
-    const key = compositeKey(waiting.team, waiting.priority);
+    const key = `${waiting.priority} ${waiting.team}`;
     const cached = this.unreclaimableByTeamAndPriority.get(key);
     if (cached) return cached;
     const sum: QuotaAmount = { cpus: 0, gpus: 0 };
--- a/src/coordination/scheduling/reservations.ts
+++ b/src/coordination/scheduling/reservations.ts
@@ -1,5 +1,4 @@
 /** Stores reserved machine capacity between scheduling cycles. */
-import { compositeKey } from "../../bookkeeping/compositeKey.js";
 import type { JobRegistry } from "../term/jobRegistry.js";
 import type { Reservation } from "./placementPlan.js";
 
@@ -51,6 +50,7 @@
   }
 }
 
+/** A job id contains no space, so the key is unambiguous whatever the machine's name contains. */
 function keyOf({ jobId, machine }: Reservation): string {
-  return compositeKey(jobId, machine);
+  return `${jobId} ${machine}`;
 }
