--- a/test/fakes/leaderTermFixture.ts
+++ b/test/fakes/leaderTermFixture.ts
@@ -3,6 +3,7 @@
  * state store or cloud.
  */
 import { QuotaUsage } from "../../src/bookkeeping/quotaUsage.js";
+import { unsentAttempt } from "../../src/bookkeeping/unsentAttempt.js";
 import { type Attempt, Job, Machine } from "../../src/bookkeeping/workload.js";
 import { Cordon } from "../../src/coordination/machines/cordon.js";
 import { Reconciliation } from "../../src/coordination/machines/reconciliation.js";
@@ -14,35 +15,12 @@
 import { TermLease } from "../../src/coordination/term/termLease.js";
 import type { JobSpec, TaskStatus } from "../../src/protocol/model.js";
 import { SimClock } from "./clock.js";
+import { ARRAY_OF_TWO } from "./jobSpec.js";
 
 const TERM = 3;
 /** The first fencing token of the fixture's term. */
 export const FIRST_TOKEN = firstFencingToken(TERM);
 
-/** The job that `addJob` registers by default. */
-export const ARRAY_OF_TWO: JobSpec = {
-  id: "job-1",
-  className: "class",
-  team: "team",
-  kind: "array",
-  priority: 1,
-  tasks: 2,
-  cpus: 1,
-  gpus: 0,
-  memoryGb: 1,
-  image: "image",
-  imageGb: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: true,
-  estimateS: 100,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-};
-
 /** The real components of a term that decide on attempts; requested commands are recorded instead of being sent. */
 export class LeaderTermFixture {
   readonly clock = new SimClock();
@@ -106,20 +84,14 @@
 
   /** Attaches an attempt that is durable and was sent just now under the machine's fencing token. */
   addAttempt(job: Job, machine: Machine, change: Partial<Attempt> = {}): Attempt {
+    const nowMs = this.clock.nowMs();
+    const number = this.attempts.nextNumber();
     const attempt: Attempt = {
-      job,
-      task: 0,
-      number: this.attempts.nextNumber(),
-      machine,
+      ...unsentAttempt({ job, task: 0, number, machine }, nowMs),
       isDurable: true,
-      isInherited: false,
       sentToken: machine.fencingToken,
       sentEpoch: machine.epoch,
-      sentMs: this.clock.nowMs(),
-      phase: null,
-      plannedMs: this.clock.nowMs(),
-      runningMs: null,
-      stop: null,
+      sentMs: nowMs,
       ...change,
     };
     this.attempts.attach(attempt);
--- a/test/fakes/placementInput.ts
+++ b/test/fakes/placementInput.ts
@@ -2,32 +2,12 @@
 import type { PlacementInput, Reservation } from "../../src/coordination/scheduling/placementPlan.js";
 import type { JobView, MachineView } from "../../src/coordination/scheduling/views.js";
 import type { JobSpec } from "../../src/protocol/model.js";
+import { ARRAY_OF_TWO } from "./jobSpec.js";
 
 /** A waiting array of 40 small tasks; `overrides` replace parts of its spec. */
 export function waitingJob(index: number, overrides: Partial<JobSpec> = {}): JobView {
-  const spec: JobSpec = {
-    id: `job-${index}`,
-    className: "c",
-    team: "t",
-    kind: "array",
-    priority: 1,
-    tasks: 40,
-    cpus: 2,
-    gpus: 0,
-    memoryGb: 4,
-    image: `img-${index % 12}`,
-    imageGb: 1,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: true,
-    estimateS: 20,
-    checkpointS: 0,
-    saveS: 0,
-    deadlineS: null,
-    ...overrides,
-  };
+  const small = { tasks: 40, cpus: 2, memoryGb: 4, estimateS: 20 };
+  const spec = { ...ARRAY_OF_TWO, ...small, id: `job-${index}`, image: `img-${index % 12}`, ...overrides };
   return {
     spec,
     pendingTasks: spec.tasks,
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -49,6 +49,8 @@
 
 /** Time that the region may take to recover after a fault ends. */
 const RECOVERY_ALLOWANCE_MS = 10_000;
+/** Number of leaders that `moveLeader` crashes at most. */
+const MAX_LEADER_CRASHES = 40;
 
 /** A running region. Simulated time advances only in `run` and `runUntilFaultFree`. */
 export class World {
@@ -128,6 +130,14 @@
     await this.run(Math.max(0, this.faultFreeFromMs - this.clock.nowMs()) / 1000);
   }
 
+  /** Crashes one leader after another until a controller leads that `isWanted` accepts; gives up after `MAX_LEADER_CRASHES`. */
+  async moveLeader(isWanted: (name: string) => boolean): Promise<void> {
+    for (let tries = 0; !isWanted(this.leader ?? "") && tries < MAX_LEADER_CRASHES; tries++) {
+      this.controllers.crash(this.controllers.leaderOrFirst, 2500);
+      await this.run(3);
+    }
+  }
+
   private createFleet(controllerNames: string[]): SimFleet {
     const { clock, net, random, jobs } = this;
     const controllers = controllerNames.map((name) => ({ name, address: controllerAddress(name) }));
--- a/test/jobRecords.test.ts
+++ b/test/jobRecords.test.ts
@@ -6,7 +6,8 @@
 import { JobRecords } from "../src/coordination/records/jobRecords.js";
 import { MachineRegistry } from "../src/coordination/term/machineRegistry.js";
 import { UNKNOWN_ZONE } from "../src/protocol/model.js";
-import { ARRAY_OF_TWO, FIRST_TOKEN, LeaderTermFixture } from "./fakes/leaderTermFixture.js";
+import { ARRAY_OF_TWO } from "./fakes/jobSpec.js";
+import { FIRST_TOKEN, LeaderTermFixture } from "./fakes/leaderTermFixture.js";
 
 const ZONES = new KnownZones(["a", "b"]);
 const MACHINE = "host-1";
--- a/test/networkPartition.test.ts
+++ b/test/networkPartition.test.ts
@@ -104,10 +104,7 @@
     await world.run(3);
     const isInside = (controller: string): boolean =>
       zones[world.controllers.names.indexOf(controller)] === "b";
-    for (let tries = 0; isInside(world.leader ?? "") !== isLeaderInside && tries < 40; tries++) {
-      world.controllers.crash(world.controllers.leaderOrFirst, 2500);
-      await world.run(3);
-    }
+    await world.moveLeader((name) => isInside(name) === isLeaderInside);
     assert.equal(isInside(world.leader!), isLeaderInside);
     const refs = Array.from({ length: 5 }, (_, number) => `job-00000${number}`);
     for (const [number, ref] of refs.entries()) {
--- a/test/placementNames.test.ts
+++ b/test/placementNames.test.ts
@@ -33,7 +33,8 @@
   const jobs = specs.map((spec, index) => waitingJob(index, { ...spec, tasks: 1 }));
   const machine = machineOf("y", "x true");
   const used = { cpus: 4, gpus: 0, memoryGb: 16 };
-  const victim: VictimView = { ref: 0, jobId: "job-9", team: "t", priority: 0, ...used, lossS: () => 1 };
+  const { team } = jobs[0]!.spec;
+  const victim: VictimView = { ref: 0, jobId: "job-9", team, priority: 0, ...used, lossS: () => 1 };
   machine.free = { cpus: 0, gpus: 0, memoryGb: 0 };
   machine.victims = () => [victim];
   const plan = place({ ...cycleInput(jobs, [machine]), canPreemptFor: () => true });
--- a/test/zoneNames.test.ts
+++ b/test/zoneNames.test.ts
@@ -5,9 +5,8 @@
 import type { PlacedTask } from "./fakes/worker.js";
 import { World } from "./fakes/world.js";
 
-/** Zones of the five controllers; the zone that is partitioned off has two. */
+/** The first controllers are outside the zone that is partitioned off, the others inside. */
 const CONTROLLERS_OUTSIDE = 3;
-const CONTROLLERS = 5;
 /** Longer than a worker's lease, shorter than the zone lease of the controllers inside. */
 const PARTITION_S = 20;
 
@@ -24,17 +23,6 @@
   return stored.split(" ")[0]!;
 }
 
-/** Lets a controller outside the partitioned zone lead, by crashing those inside that do. */
-async function moveLeaderOutside(world: World): Promise<void> {
-  const isOutside = (): boolean =>
-    world.controllers.names.slice(0, CONTROLLERS_OUTSIDE).includes(world.leader ?? "");
-  for (let tries = 0; !isOutside() && tries < 40; tries++) {
-    world.controllers.crash(world.controllers.leaderOrFirst, 2500);
-    await world.run(3);
-  }
-  assert.ok(isOutside());
-}
-
 /**
  * Guards against the fault of docs/incidents/zone-with-a-space.md (`ran_twice`): a new leader read a zone without its
  * second word, found no controller in it, and started its tasks elsewhere while the zone's controllers kept them running.
@@ -113,10 +101,17 @@
   for (const [index, { name, cloudZones, zone, rewrite, ...options }] of cases.entries())
     test(name, async () => {
       const zones = ["a", "a", "a", zone, zone];
-      const world = new World(400 + index, { controllerCount: CONTROLLERS, zones, cloudZones, capacity: 16 });
+      const world = new World(400 + index, {
+        controllerCount: zones.length,
+        zones,
+        cloudZones,
+        capacity: 16,
+      });
       world.cloud.machineNamePrefix = options.machineNamePrefix ?? world.cloud.machineNamePrefix;
       await world.run(3);
-      await moveLeaderOutside(world);
+      const outside = world.controllers.names.slice(0, CONTROLLERS_OUTSIDE);
+      await world.moveLeader((name) => outside.includes(name));
+      assert.ok(outside.includes(world.leader!));
       // Machines of zone "a" are left idle, so that a task that counts as gone starts again at once.
       const machine = { breeds: ["small"], cores: 4, memoryGb: 16, windfall: false };
       const service = { form: "standing", rank: "prod", ...machine };
